--- /dev/null
+++ b/src/adapters/cloud.ts
@@ -0,0 +1,85 @@
+/** The cloud: its calls one at a time, within its rate, backing off when it is in trouble. */
+import type { Clock } from '../clock.js';
+import type { ListedMachine, MachineType } from '../core/types.js';
+import { parseAddress, type PlatformSettings } from '../settings.js';
+import { encodeRental, encodeReturn, parseCatalog, parseMachines, parseRented } from '../wire/cloud.js';
+import { HttpClient, type Answer } from './http.js';
+import { Limiter } from './limiter.js';
+
+export type RentalOutcome = readonly string[] | 'refused' | 'malformed' | 'unknown';
+
+export interface Cloud {
+  catalog(): Promise<MachineType[] | null>;
+  machines(): Promise<ListedMachine[] | null>;
+  rent(request: string, type: string, zone: string, spot: boolean, count: number): Promise<RentalOutcome>;
+  giveBack(machines: readonly string[]): Promise<boolean>;
+}
+
+const PAGE = 500;
+
+export class HttpCloud implements Cloud {
+  readonly #client: HttpClient;
+  readonly #rate: Limiter;
+  readonly #timeout: number;
+
+  constructor(
+    settings: PlatformSettings,
+    private readonly clock: Clock,
+  ) {
+    this.#client = new HttpClient(parseAddress(settings.endpoints.cloud), 6);
+    const { rps } = settings.cluster.cloud;
+    this.#rate = new Limiter(clock, 0.7 * rps, rps);
+    this.#timeout = 300 * settings.cluster.workers.lease_s;
+  }
+
+  async #call(method: string, path: string, body: string | null): Promise<Answer> {
+    while (!this.#rate.tryTake()) await this.clock.sleep(100);
+    const answer = await this.#client.call(method, path, body, this.#timeout);
+    // Whoever asks again after trouble asks a second later at the earliest.
+    const refused = answer.status === 503 && JSON.stringify(answer.body ?? '').includes('no capacity');
+    if (answer.status === 0 || answer.status === 429 || (answer.status >= 500 && !refused)) {
+      await this.clock.sleep(1000);
+    }
+    return answer;
+  }
+
+  async catalog(): Promise<MachineType[] | null> {
+    const answer = await this.#call('GET', '/catalog', null);
+    return answer.status === 200 ? parseCatalog(answer.body) : null;
+  }
+
+  async machines(): Promise<ListedMachine[] | null> {
+    const all: ListedMachine[] = [];
+    for (;;) {
+      const last = all.at(-1)?.name;
+      const answer = await this.#call(
+        'GET',
+        `/machines?${last === undefined ? '' : `after=${last}&`}page=${PAGE}`,
+        null,
+      );
+      const page = answer.status === 200 ? parseMachines(answer.body) : null;
+      if (page === null) return null;
+      all.push(...page.machines);
+      if (!page.more || page.machines.length === 0) return all;
+    }
+  }
+
+  async rent(
+    request: string,
+    type: string,
+    zone: string,
+    spot: boolean,
+    count: number,
+  ): Promise<RentalOutcome> {
+    const answer = await this.#call('POST', '/machines', encodeRental(request, type, zone, spot, count));
+    if (answer.status === 200) return parseRented(answer.body) ?? 'unknown';
+    if (answer.status === 400) return 'malformed';
+    const text = JSON.stringify(answer.body ?? '');
+    return answer.status === 503 && text.includes('no capacity') ? 'refused' : 'unknown';
+  }
+
+  async giveBack(machines: readonly string[]): Promise<boolean> {
+    const answer = await this.#call('POST', '/machines/return', encodeReturn(machines));
+    return answer.status === 200;
+  }
+}
--- /dev/null
+++ b/src/adapters/http.ts
@@ -0,0 +1,69 @@
+/** HTTP requests over kept-open connections, each with a bound on its time. */
+import { Agent, request as send } from 'node:http';
+import type { Address } from '../settings.js';
+import { parseJson } from '../wire/json.js';
+
+export interface Answer {
+  /** 0: no answer; the request may have been executed, or may be later. */
+  readonly status: number;
+  readonly body: unknown;
+}
+
+const NO_ANSWER: Answer = { status: 0, body: undefined };
+
+/** The largest answer taken in; a longer one counts as no answer. */
+const MOST_BYTES = 8 * 1024 * 1024;
+
+export class HttpClient {
+  readonly #agent: Agent;
+  readonly #to: Address;
+
+  constructor(to: Address, sockets: number, keep = true) {
+    this.#to = to;
+    this.#agent = new Agent({ keepAlive: keep, maxSockets: sockets, maxFreeSockets: sockets });
+  }
+
+  close(): void {
+    this.#agent.destroy();
+  }
+
+  call(method: string, path: string, body: string | null, timeoutMs: number): Promise<Answer> {
+    return new Promise((resolve) => {
+      let settled = false;
+      const settle = (answer: Answer): void => {
+        if (settled) return;
+        settled = true;
+        clearTimeout(timer);
+        resolve(answer);
+      };
+      const headers =
+        body === null
+          ? {}
+          : { 'Content-Type': 'application/json', 'Content-Length': Buffer.byteLength(body) };
+      const request = send(
+        { host: this.#to.host, port: this.#to.port, method, path, headers, agent: this.#agent },
+        (response) => {
+          const parts: Buffer[] = [];
+          let bytes = 0;
+          response.on('data', (part: Buffer) => {
+            bytes += part.length;
+            if (bytes > MOST_BYTES) request.destroy();
+            else parts.push(part);
+          });
+          response.on('end', () => {
+            const source = Buffer.concat(parts).toString('utf8');
+            settle({ status: response.statusCode ?? 0, body: source === '' ? undefined : parseJson(source) });
+          });
+          response.on('error', () => settle(NO_ANSWER));
+          response.on('close', () => settle(NO_ANSWER));
+        },
+      );
+      const timer = setTimeout(() => {
+        settle(NO_ANSWER);
+        request.destroy();
+      }, timeoutMs);
+      request.on('error', () => settle(NO_ANSWER));
+      request.end(body ?? undefined);
+    });
+  }
+}
--- /dev/null
+++ b/src/adapters/limiter.ts
@@ -0,0 +1,45 @@
+/** A bucket of tokens that keeps this node within its share of a service's rate. */
+import type { Clock } from '../clock.js';
+
+export class Limiter {
+  #level: number;
+  #at: number;
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly perSecond: number,
+    private readonly burst: number,
+  ) {
+    this.#level = burst;
+    this.#at = clock.mono();
+  }
+
+  #refill(): void {
+    const now = this.clock.mono();
+    this.#level = Math.min(this.burst, this.#level + ((now - this.#at) / 1000) * this.perSecond);
+    this.#at = now;
+  }
+
+  /** Takes `cost` now, or says false. */
+  tryTake(cost = 1): boolean {
+    this.#refill();
+    if (this.#level < cost) return false;
+    this.#level -= cost;
+    return true;
+  }
+
+  /** Takes `cost` whatever the level: for what must not wait, at the expense of the rest. */
+  force(cost = 1): void {
+    this.#refill();
+    this.#level = Math.max(-this.burst, this.#level - cost);
+  }
+
+  /** Waits for `cost`, at most `withinMs`; false if that is not long enough. */
+  async take(cost: number, withinMs: number): Promise<boolean> {
+    if (this.tryTake(cost)) return true;
+    const wait = ((cost - this.#level) / this.perSecond) * 1000;
+    if (wait > withinMs) return false;
+    await this.clock.sleep(Math.ceil(wait));
+    return this.tryTake(cost);
+  }
+}
--- /dev/null
+++ b/src/adapters/server.ts
@@ -0,0 +1,97 @@
+/** The node's public port: workers' reports on a short path, everything else by express. */
+import express, { type ErrorRequestHandler, type RequestHandler, type Response } from 'express';
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import { parseJson } from '../wire/json.js';
+import type { UserAnswer, Users } from './users.js';
+
+const MOST_BODY = 64 * 1024;
+
+export interface ReportPort {
+  /** Takes a report's body; `done` is called once with the answer. */
+  report(body: unknown, done: (status: number, body: string) => void): void;
+}
+
+function sendJson(response: ServerResponse, status: number, body: string): void {
+  if (response.writableEnded || response.destroyed) return;
+  const headers: Record<string, string | number> = {
+    'Content-Type': 'application/json',
+    'Content-Length': Buffer.byteLength(body),
+  };
+  if (status === 429 || status === 503) headers['Retry-After'] = '1';
+  response.writeHead(status, headers).end(body);
+}
+
+function takeReport(port: ReportPort, request: IncomingMessage, response: ServerResponse): void {
+  const parts: Buffer[] = [];
+  let bytes = 0;
+  request.on('data', (part: Buffer) => {
+    bytes += part.length;
+    if (bytes <= MOST_BODY) parts.push(part);
+  });
+  request.on('end', () => {
+    const body = bytes <= MOST_BODY ? parseJson(Buffer.concat(parts).toString('utf8')) : undefined;
+    port.report(body, (status, text) => sendJson(response, status, text));
+  });
+  request.on('error', () => response.destroy());
+}
+
+const reply = (response: Response, answer: UserAnswer): void =>
+  sendJson(response, answer.status, JSON.stringify(answer.body));
+
+const notAllowed: RequestHandler = (_request, response) =>
+  sendJson(response, 405, '{"error":"method not allowed"}');
+
+const onError: ErrorRequestHandler = (error, _request, response, _next) => {
+  const status = (error as { status?: unknown }).status;
+  const faulty = typeof status === 'number' && status >= 400 && status < 500;
+  // Too large, not JSON, a broken encoding: all of it is the sender's mistake.
+  sendJson(
+    response,
+    faulty ? 400 : 503,
+    JSON.stringify({ error: faulty ? 'malformed request' : 'try again' }),
+  );
+};
+
+export function createPublicServer(
+  users: Users,
+  reports: ReportPort,
+  ready: () => boolean,
+  status: () => object,
+  sockets: number,
+): Server {
+  const app = express();
+  app.disable('x-powered-by');
+  app.disable('etag');
+  const body = express.json({ limit: MOST_BODY, strict: false, type: () => true });
+  app
+    .route('/ready')
+    .get((_request, response) => sendJson(response, ready() ? 200 : 503, '{}'))
+    .all(notAllowed);
+  app
+    .route('/v2/runs')
+    .post(body, async (request, response) => reply(response, await users.submit(request.body as unknown)))
+    .all(notAllowed);
+  app
+    .route('/v2/runs/:id')
+    .get(async (request, response) => reply(response, await users.show(request.params.id)))
+    .all(notAllowed);
+  app
+    .route('/v2/runs/:id/withdraw')
+    .post(async (request, response) => reply(response, await users.withdraw(request.params.id)))
+    .all(notAllowed);
+  app
+    .route('/status')
+    .get((_request, response) => sendJson(response, 200, JSON.stringify(status(), null, 1)))
+    .all(notAllowed);
+  app.all('/v1/report', notAllowed);
+  app.use((_request, response) => sendJson(response, 404, '{"error":"no such path"}'));
+  app.use(onError);
+
+  const server = createServer({ keepAlive: true, noDelay: true }, (request, response) => {
+    if (request.method === 'POST' && request.url === '/v1/report') takeReport(reports, request, response);
+    else app(request, response);
+  });
+  server.keepAliveTimeout = 120_000;
+  server.maxConnections = Math.floor(0.8 * sockets);
+  return server;
+}
--- /dev/null
+++ b/src/adapters/state.ts
@@ -0,0 +1,157 @@
+/** The state service. */
+import type { Clock } from '../clock.js';
+import { parseAddress, timing, type PlatformSettings, type Timing } from '../settings.js';
+import {
+  encodeLife,
+  encodeTransaction,
+  parseChanges,
+  parseFailed,
+  parseLease,
+  parsePage,
+  parseRevision,
+  parseValue,
+  type Change,
+  type Entry,
+  type Transaction,
+} from '../wire/state.js';
+import { HttpClient, type Answer } from './http.js';
+import { Limiter } from './limiter.js';
+
+export type Read = { readonly entry: Entry | null } | 'unknown';
+export type Commit =
+  | { readonly kind: 'applied'; readonly revision: number }
+  | { readonly kind: 'failed'; readonly keys: readonly string[] }
+  /** Certainly not executed. */
+  | { readonly kind: 'refused' }
+  | { readonly kind: 'noLease' }
+  | { readonly kind: 'unknown' };
+export type Watch =
+  | { readonly kind: 'changes'; readonly changes: readonly Change[]; readonly revision: number }
+  | { readonly kind: 'tooOld' }
+  | { readonly kind: 'unknown' };
+
+/** What the rest of the service needs of the state service. */
+export interface StateService {
+  read(key: string): Promise<Read>;
+  list(prefix: string): Promise<{ entries: Entry[]; revision: number } | 'unknown'>;
+  commit(txn: Transaction): Promise<Commit>;
+  watch(prefix: string, after: number, waitMs: number): Promise<Watch>;
+  grant(lifeMs: number): Promise<number | null>;
+  /** True: renewed; false: it has ended; null: no answer. */
+  renew(lease: number): Promise<boolean | null>;
+  /** Steady time at which the latest answered request was sent; null before the first. */
+  contactAt(): number | null;
+}
+
+const PAGE = 500;
+
+export class HttpStateService implements StateService {
+  readonly #client: HttpClient;
+  readonly #watches: HttpClient;
+  readonly #requests: Limiter;
+  readonly #writes: Limiter;
+  readonly #timing: Timing;
+  #contactAt: number | null = null;
+
+  constructor(
+    settings: PlatformSettings,
+    private readonly clock: Clock,
+  ) {
+    const to = parseAddress(settings.endpoints.state);
+    const { rps, write_rps, txn_ops } = settings.cluster.state;
+    const { sockets } = settings.cluster.quota;
+    this.#timing = timing(settings);
+    this.#client = new HttpClient(to, Math.max(4, Math.floor(sockets / 25)));
+    this.#watches = new HttpClient(to, 8);
+    // The load is rarely even among the nodes, so each may use more than its part.
+    this.#requests = new Limiter(clock, 0.5 * rps, 0.3 * rps);
+    this.#writes = new Limiter(clock, 0.6 * write_rps, Math.max(0.6 * write_rps, txn_ops));
+  }
+
+  contactAt(): number | null {
+    return this.#contactAt;
+  }
+
+  async #call(method: string, path: string, body: string | null, urgent = false): Promise<Answer> {
+    const { stateTimeout } = this.#timing;
+    if (urgent) this.#requests.force();
+    else if (!(await this.#requests.take(1, stateTimeout / 2))) return { status: 429, body: undefined };
+    const sentAt = this.clock.mono();
+    const answer = await this.#client.call(method, path, body, stateTimeout);
+    this.#note(answer, sentAt);
+    return answer;
+  }
+
+  #note(answer: Answer, sentAt: number): void {
+    if (answer.status !== 0 && answer.status < 500 && answer.status !== 429) {
+      this.#contactAt = Math.max(this.#contactAt ?? sentAt, sentAt);
+    }
+  }
+
+  async read(key: string): Promise<Read> {
+    const answer = await this.#call('GET', `/keys/${key}`, null);
+    if (answer.status === 404 && parseRevision(answer.body) !== null) return { entry: null };
+    const entry = answer.status === 200 ? parseValue(answer.body) : null;
+    return entry === null ? 'unknown' : { entry };
+  }
+
+  async list(prefix: string): Promise<{ entries: Entry[]; revision: number } | 'unknown'> {
+    const entries: Entry[] = [];
+    let revision: number | null = null;
+    for (;;) {
+      const after = entries.at(-1)?.key;
+      const query = `prefix=${encodeURIComponent(prefix)}${after === undefined ? '' : `&after=${encodeURIComponent(after)}`}&page=${PAGE}`;
+      const answer = await this.#call('GET', `/keys?${query}`, null);
+      const page = answer.status === 200 ? parsePage(answer.body) : null;
+      if (page === null) return 'unknown';
+      // Changes after the first page are seen by a watch that begins at its revision.
+      revision ??= page.revision;
+      entries.push(...page.entries);
+      if (!page.more || page.entries.length === 0) return { entries, revision };
+    }
+  }
+
+  async commit(txn: Transaction): Promise<Commit> {
+    if (!(await this.#writes.take(txn.apply.length, this.#timing.stateTimeout / 2)))
+      return { kind: 'refused' };
+    const answer = await this.#call('POST', '/commit', encodeTransaction(txn));
+    const revision = parseRevision(answer.body);
+    switch (answer.status) {
+      case 200:
+        return revision === null ? { kind: 'unknown' } : { kind: 'applied', revision };
+      case 409: {
+        const keys = parseFailed(answer.body);
+        return keys === null ? { kind: 'unknown' } : { kind: 'failed', keys };
+      }
+      case 400:
+        return { kind: 'noLease' };
+      case 429:
+      case 503:
+        return { kind: 'refused' };
+      default:
+        return { kind: 'unknown' };
+    }
+  }
+
+  async watch(prefix: string, after: number, waitMs: number): Promise<Watch> {
+    this.#requests.force();
+    const sentAt = this.clock.mono();
+    const path = `/watch?prefix=${encodeURIComponent(prefix)}&after=${after}&waitMs=${Math.round(waitMs)}`;
+    const answer = await this.#watches.call('GET', path, null, waitMs + this.#timing.stateTimeout);
+    this.#note(answer, sentAt);
+    if (answer.status === 410) return { kind: 'tooOld' };
+    const found = answer.status === 200 ? parseChanges(answer.body) : null;
+    return found === null ? { kind: 'unknown' } : { kind: 'changes', ...found };
+  }
+
+  async grant(lifeMs: number): Promise<number | null> {
+    const answer = await this.#call('POST', '/leases', encodeLife(lifeMs), true);
+    return answer.status === 200 ? parseLease(answer.body) : null;
+  }
+
+  async renew(lease: number): Promise<boolean | null> {
+    const answer = await this.#call('POST', `/leases/${lease}/renew`, '{}', true);
+    if (answer.status === 200) return true;
+    return answer.status === 404 ? false : null;
+  }
+}
--- /dev/null
+++ b/src/clock.ts
@@ -0,0 +1,17 @@
+/** Time as the service sees it; tests put a clock of their own in its place. */
+export interface Clock {
+  /** Steady, in milliseconds. */
+  mono(): number;
+  /** Time of day, in milliseconds. */
+  wall(): number;
+  sleep(ms: number): Promise<void>;
+}
+
+export const systemClock: Clock = {
+  mono: () => performance.now(),
+  wall: () => Date.now(),
+  sleep: (ms) =>
+    new Promise((resolve) => {
+      setTimeout(resolve, ms);
+    }),
+};
--- /dev/null
+++ b/src/core/effects.ts
@@ -0,0 +1,92 @@
+/** What goes into `step` and what comes out of it. */
+import type { Transaction } from '../wire/state.js';
+import type {
+  Stamped,
+  ChunkRecord,
+  JobSpec,
+  ListedMachine,
+  MachineType,
+  Report,
+  WorkerCommand,
+  EndedRecord,
+} from './types.js';
+
+export interface LoadedChunk {
+  readonly job: string;
+  readonly chunk: number;
+  readonly record: Stamped<ChunkRecord>;
+}
+
+export type CommitOutcome =
+  | { readonly kind: 'applied'; readonly revision: number }
+  | { readonly kind: 'failed'; readonly keys: readonly string[] }
+  | { readonly kind: 'refused' }
+  | { readonly kind: 'unknown' };
+
+export interface Recheck {
+  readonly jobs: ReadonlyMap<string, { readonly live: boolean; readonly ended: EndedRecord | null }>;
+  readonly chunks: ReadonlyMap<string, number>;
+}
+
+export type Command =
+  | { readonly kind: 'tick' }
+  | { readonly kind: 'report'; readonly reply: number; readonly report: Report }
+  | { readonly kind: 'direct'; readonly report: Report }
+  | {
+      readonly kind: 'lead';
+      readonly term: number;
+      readonly stamp: number;
+      readonly provenAt: number;
+      readonly jobs: readonly Stamped<JobSpec>[];
+      readonly chunks: readonly LoadedChunk[];
+    }
+  | { readonly kind: 'resign'; readonly reason: string }
+  | { readonly kind: 'tokenSeen'; readonly token: number }
+  | { readonly kind: 'proof'; readonly sentAt: number }
+  | { readonly kind: 'jobAdded'; readonly job: Stamped<JobSpec> }
+  | { readonly kind: 'jobRemoved'; readonly id: string }
+  /** The jobs read anew, complete as of the revision. */
+  | { readonly kind: 'jobsReplaced'; readonly jobs: readonly Stamped<JobSpec>[]; readonly revision: number }
+  | { readonly kind: 'committed'; readonly id: number; readonly outcome: CommitOutcome }
+  | { readonly kind: 'rechecked'; readonly found: Recheck | null }
+  | { readonly kind: 'catalog'; readonly types: readonly MachineType[] }
+  | { readonly kind: 'listed'; readonly askedAt: number; readonly machines: readonly ListedMachine[] }
+  | {
+      readonly kind: 'rented';
+      readonly request: string;
+      readonly outcome: readonly string[] | 'refused' | 'malformed' | 'unknown';
+    }
+  | { readonly kind: 'returned'; readonly machines: readonly string[]; readonly ok: boolean };
+
+export type Reply =
+  | { readonly kind: 'commands'; readonly token: number; readonly commands: readonly WorkerCommand[] }
+  | { readonly kind: 'unable' };
+
+export type Effect =
+  | { readonly kind: 'reply'; readonly reply: number; readonly body: Reply }
+  | { readonly kind: 'commit'; readonly id: number; readonly txn: Transaction }
+  | { readonly kind: 'recheck'; readonly jobs: readonly string[]; readonly chunks: readonly string[] }
+  | {
+      readonly kind: 'direct';
+      readonly machine: string;
+      readonly address: string;
+      readonly token: number;
+      readonly session: number;
+      readonly commands: readonly WorkerCommand[];
+    }
+  | {
+      readonly kind: 'rent';
+      readonly request: string;
+      readonly type: string;
+      readonly zone: string;
+      readonly spot: boolean;
+      readonly count: number;
+    }
+  | { readonly kind: 'return'; readonly machines: readonly string[] }
+  | { readonly kind: 'steppedDown'; readonly reason: string }
+  | {
+      readonly kind: 'log';
+      readonly level: 'info' | 'debug';
+      readonly event: string;
+      readonly detail: object;
+    };
--- /dev/null
+++ b/src/core/fleet.ts
@@ -0,0 +1,371 @@
+/** Machines: what their reports prove, what they are told, and when they are given up. */
+import type { Effect } from './effects.js';
+import { isDurable, recordStrayDone, releaseClaim } from './ledger.js';
+import {
+  isDone,
+  isExitKept,
+  taskKey,
+  type CoreState,
+  type LiveClaim,
+  type Machine,
+  type Now,
+} from './state.js';
+import type { ListedMachine, Report, ReportedTask, WorkerCommand } from './types.js';
+
+const GONE_KEPT = 2000;
+
+export function machineNamed(state: CoreState, name: string, now: Now): Machine {
+  const known = state.machines.get(name);
+  if (known !== undefined) return known;
+  const machine: Machine = {
+    name,
+    address: '',
+    type: '',
+    zone: '',
+    spot: true,
+    rentedAt: now.mono,
+    session: 0,
+    seq: 0,
+    heardAt: null,
+    knownAt: now.mono,
+    whole: false,
+    takenAt: null,
+    listed: null,
+    claims: new Map(),
+    exits: new Map(),
+    reported: [],
+    images: new Map(),
+    idleSince: now.mono,
+    erredJobs: new Set(),
+    leaving: null,
+    returnAskedAt: null,
+    held: null,
+    raisedAt: null,
+  };
+  state.machines.set(name, machine);
+  return machine;
+}
+
+export function leave(machine: Machine, reason: string): void {
+  machine.leaving ??= reason;
+}
+
+/** Whether new tasks may be put on a machine now. */
+export function isUsable(state: CoreState, machine: Machine, now: Now): boolean {
+  return (
+    machine.whole &&
+    machine.leaving === null &&
+    machine.takenAt === null &&
+    machine.heardAt !== null &&
+    now.mono - machine.heardAt < 2 * state.rules.timing.longestReport &&
+    state.types.has(machine.type)
+  );
+}
+
+/** Remembers that a machine holds an image, dropping the least recently used. */
+function useImage(state: CoreState, machine: Machine, image: string, gb: number): void {
+  machine.images.delete(image);
+  machine.images.set(image, gb);
+  const room = state.types.get(machine.type)?.cacheGb ?? 0;
+  let held = 0;
+  for (const size of machine.images.values()) held += size;
+  for (const [oldest, size] of machine.images) {
+    if (held <= room || oldest === image) break;
+    machine.images.delete(oldest);
+    held -= size;
+  }
+}
+
+function noteExit(state: CoreState, machine: Machine, claim: LiveClaim, task: ReportedTask, now: Now): void {
+  const { job } = claim;
+  switch (task.exit) {
+    case 'done': {
+      machine.erredJobs.clear();
+      job.errors = 0;
+      job.failedOn.clear();
+      if (claim.runningSince !== null && job.spec.estimateS > 0) {
+        const ratio = (now.mono - claim.runningSince) / (job.spec.estimateS * 1000);
+        const seen = state.runRatio.get(job.spec.jobClass) ?? 1;
+        state.runRatio.set(job.spec.jobClass, seen + (Math.min(4, ratio) - seen) / 16);
+      }
+      break;
+    }
+    case 'error':
+      job.failedOn.add(machine.name);
+      job.errors += 1;
+      // A job that fails on several machines is at fault itself: it is retried ever
+      // more slowly, and the machines it fails on are not blamed.
+      if (job.failedOn.size >= 3) {
+        const wait = state.rules.timing.longestReport * 2 ** Math.min(8, job.failedOn.size + job.errors - 3);
+        job.retryAt = now.mono + Math.min(wait, 30 * state.rules.timing.workerLease);
+      } else {
+        machine.erredJobs.add(taskKey(job.spec.id, claim.task));
+      }
+      break;
+    case 'no_room':
+    case 'busy':
+    case 'unknown':
+      job.retryAt = Math.max(job.retryAt, now.mono + state.rules.timing.longestReport);
+      break;
+    default:
+      break;
+  }
+}
+
+function takeExit(state: CoreState, machine: Machine, task: ReportedTask, now: Now): void {
+  const key = taskKey(task.job, task.task);
+  const name = `${key}#${task.attempt}`;
+  if (machine.exits.has(name)) return;
+  const claim = machine.claims.get(key);
+  const job = state.jobs.get(task.job) ?? null;
+  if (claim !== undefined && claim.attempt === task.attempt) {
+    noteExit(state, machine, claim, task, now);
+    const chunk = releaseClaim(state, claim, task.exit === 'done');
+    machine.exits.set(name, { job, chunk, version: chunk.version });
+  } else if (job !== null && job.over === null && task.exit === 'done' && !isDone(job, task.task)) {
+    // Its result is kept, whoever started it.
+    const chunk = recordStrayDone(state, job, task.task);
+    machine.exits.set(name, { job, chunk, version: chunk.version });
+  } else {
+    machine.exits.set(name, { job: null, chunk: null, version: 0 });
+  }
+}
+
+function noteStage(state: CoreState, machine: Machine, claim: LiveClaim, task: ReportedTask, now: Now): void {
+  const { spec } = claim.job;
+  if (claim.stage !== task.stage) {
+    claim.stage = task.stage;
+    if (task.stage === 'running' && claim.runningSince === null) {
+      claim.runningSince = now.mono;
+      claim.expectedEnd = now.mono + state.rules.policy.expectedRun(spec);
+      useImage(state, machine, spec.image, spec.imageGb);
+    }
+  }
+  claim.sent = true;
+}
+
+/** Drops from a machine every claim of which there is proof that it is not there. */
+function applyProof(state: CoreState, machine: Machine, report: Report, whole: boolean): void {
+  const listed = new Set<string>();
+  for (const task of report.tasks) listed.add(`${taskKey(task.job, task.task)}#${task.attempt}`);
+  for (const [key, claim] of [...machine.claims]) {
+    if (claim.session < report.session) {
+      // A new session: the worker has killed and forgotten all of the one before.
+      releaseClaim(state, claim, false);
+    } else if (whole && !listed.has(`${key}#${claim.attempt}`)) {
+      // This report is newer than any start sent, and no older leader's response can
+      // still be accepted: the task is not on the machine.
+      const pointless = claim.job.over !== null || claim.unwanted || isDone(claim.job, claim.task);
+      if (claim.stage !== null || pointless) releaseClaim(state, claim, false);
+    }
+  }
+  for (const name of [...machine.exits.keys()]) if (!listed.has(name)) machine.exits.delete(name);
+}
+
+/** Takes in a report. False: it is not newer than what is known and changes nothing. */
+export function takeReport(
+  state: CoreState,
+  report: Report,
+  now: Now,
+  effects: Effect[],
+  direct: boolean,
+): boolean {
+  if (state.gone.has(report.machine)) return false;
+  const known = state.machines.has(report.machine);
+  const machine = machineNamed(state, report.machine, now);
+  if (report.session < machine.session) return false;
+  if (report.session === machine.session && report.seq <= machine.seq) return false;
+  if (!known) log(effects, 'machine reports unexpectedly', { machine: report.machine, type: report.type });
+  if (machine.heardAt === null || machine.type === '') {
+    machine.type = report.type;
+    machine.zone = report.zone;
+    machine.spot = report.spot;
+    machine.idleSince = now.mono;
+    state.placeDirty = true;
+  }
+  if (report.session > machine.session && machine.session > 0) machine.images.clear();
+  machine.address = report.address;
+  machine.session = report.session;
+  machine.seq = report.seq;
+  const token = state.leadership?.term ?? 0;
+  // The answer to a direct command may overtake a start that is still on its way in
+  // the response to a report, so only reports prove that something is absent.
+  const whole = !direct && report.token === token;
+  if (!direct) {
+    machine.heardAt = now.mono;
+    if (whole && !machine.whole) state.placeDirty = true;
+    machine.whole = whole;
+  }
+  if (report.noticeS !== null && machine.takenAt === null) {
+    machine.takenAt = now.mono + report.noticeS * 1000;
+    state.placeDirty = true;
+    log(effects, 'machine will be taken', { machine: machine.name, inS: report.noticeS });
+  }
+  for (const task of report.tasks) {
+    if (task.stage === 'exited') {
+      takeExit(state, machine, task, now);
+      continue;
+    }
+    const claim = machine.claims.get(taskKey(task.job, task.task));
+    if (claim !== undefined && claim.attempt === task.attempt) noteStage(state, machine, claim, task, now);
+  }
+  applyProof(state, machine, report, whole);
+  machine.reported = report.tasks;
+  if (machine.claims.size > 0) machine.idleSince = now.mono;
+  if (machine.erredJobs.size >= 2) leave(machine, 'fails its tasks');
+  return true;
+}
+
+/** Whether some start for this machine is still waiting to be committed. */
+export function awaitsCommit(state: CoreState, machine: Machine): boolean {
+  for (const claim of machine.claims.values()) {
+    if (!claim.sent && claim.job.over === null && !isDurable(state, claim)) return true;
+  }
+  for (const exit of machine.exits.values()) if (!isExitKept(exit)) return true;
+  return false;
+}
+
+/** What a worker is told in answer to the report just taken in. */
+export function commandsFor(state: CoreState, machine: Machine): WorkerCommand[] {
+  const commands: WorkerCommand[] = [];
+  const listed = new Set<string>();
+  for (const { job, task, attempt, stage } of machine.reported) {
+    const key = taskKey(job, task);
+    listed.add(key);
+    if (stage === 'exited') {
+      const exit = machine.exits.get(`${key}#${attempt}`);
+      if (exit !== undefined && isExitKept(exit)) commands.push({ op: 'forget', job, task, attempt });
+      continue;
+    }
+    const claim = machine.claims.get(key);
+    if (
+      claim === undefined ||
+      claim.attempt !== attempt ||
+      claim.job.over !== null ||
+      isDone(claim.job, task)
+    ) {
+      commands.push({ op: 'stop', job, task, attempt, graceS: 0 });
+    } else if (claim.unwanted && stage !== 'saving') {
+      commands.push({ op: 'stop', job, task, attempt, graceS: claim.job.spec.saveS });
+    }
+  }
+  if (!machine.whole) return commands;
+  for (const [key, claim] of [...machine.claims]) {
+    if (claim.session !== machine.session) continue;
+    const { job, task, attempt } = claim;
+    if (job.over !== null || claim.unwanted || isDone(job, task)) {
+      // Never sent by anyone, and now never to be.
+      if (!claim.sent) releaseClaim(state, claim, false);
+    } else if (!listed.has(key) && isDurable(state, claim)) {
+      claim.sent = true;
+      commands.push({ op: 'start', job: job.spec.id, task, attempt });
+    }
+  }
+  return commands;
+}
+
+export function answer(state: CoreState, machine: Machine, effects: Effect[]): void {
+  const held = machine.held;
+  const lead = state.leadership;
+  if (held === null || lead === null) return;
+  machine.held = null;
+  effects.push({
+    kind: 'reply',
+    reply: held.reply,
+    body: { kind: 'commands', token: lead.term, commands: commandsFor(state, machine) },
+  });
+}
+
+/** The cloud has confirmed that these machines, and all that was on them, are gone. */
+export function dropReturned(state: CoreState, names: readonly string[], effects: Effect[]): void {
+  for (const name of names) {
+    state.gone.add(name);
+    const machine = state.machines.get(name);
+    if (machine === undefined) continue;
+    for (const claim of [...machine.claims.values()]) releaseClaim(state, claim, false);
+    if (machine.held !== null) {
+      effects.push({ kind: 'reply', reply: machine.held.reply, body: { kind: 'unable' } });
+    }
+    state.machines.delete(name);
+    state.placeDirty = true;
+  }
+  for (const oldest of state.gone) {
+    if (state.gone.size <= GONE_KEPT) break;
+    state.gone.delete(oldest);
+  }
+}
+
+/** Machines in the cloud's list that nobody here knew are taken on. */
+export function takeList(
+  state: CoreState,
+  listed: readonly ListedMachine[],
+  now: Now,
+  effects: Effect[],
+): void {
+  for (const entry of listed) {
+    if (state.gone.has(entry.name)) continue;
+    const known = state.machines.has(entry.name);
+    const machine = machineNamed(state, entry.name, now);
+    if (!known) {
+      machine.rentedAt = now.mono - entry.ageS * 1000;
+      log(effects, 'machine taken on from the list', { machine: entry.name, stage: entry.stage });
+    }
+    if (machine.type === '') {
+      machine.type = entry.type;
+      machine.zone = entry.zone;
+      machine.spot = entry.spot;
+      state.placeDirty = true;
+    }
+    if (machine.address === '') machine.address = entry.address;
+    machine.listed = entry.stage;
+    if (entry.stage === 'failed') leave(machine, 'failed');
+  }
+}
+
+/** Workers that have not seen this leader's token are shown it, so that they report at once. */
+export function raiseTokens(state: CoreState, now: Now, effects: Effect[]): void {
+  const lead = state.leadership;
+  if (lead === null) return;
+  for (const machine of state.machines.values()) {
+    if (machine.whole || machine.address === '' || machine.session === 0) continue;
+    if (machine.raisedAt !== null && now.mono - machine.raisedAt < state.rules.timing.longestReport) continue;
+    machine.raisedAt = now.mono;
+    effects.push({
+      kind: 'direct',
+      machine: machine.name,
+      address: machine.address,
+      token: lead.term,
+      session: machine.session,
+      commands: [],
+    });
+  }
+}
+
+/** Gives up machines that are silent, never came up, or hold cancelled work out of reach. */
+export function judgeMachines(state: CoreState, now: Now): void {
+  const { timing } = state.rules;
+  for (const machine of state.machines.values()) {
+    if (machine.leaving !== null) continue;
+    const type = state.types.get(machine.type);
+    const boot = (type?.bootS ?? 60) * 1000;
+    if (machine.heardAt === null) {
+      const expected = machine.listed === 'running' || machine.claims.size > 0;
+      if (expected && now.mono - machine.knownAt > timing.silence) leave(machine, 'never heard');
+      else if (now.mono - machine.rentedAt > 3 * boot && now.mono - machine.knownAt > timing.silence) {
+        leave(machine, 'never came up');
+      }
+      continue;
+    }
+    const silent = now.mono - machine.heardAt;
+    if (silent > timing.silence) leave(machine, 'silent');
+    else if (silent > 0.5 * timing.silence) {
+      for (const claim of machine.claims.values()) {
+        if (claim.job.over !== null) leave(machine, 'silent with ended work');
+      }
+    }
+  }
+}
+
+export function log(effects: Effect[], event: string, detail: object): void {
+  effects.push({ kind: 'log', level: 'info', event, detail });
+}
--- /dev/null
+++ b/src/core/state.ts
@@ -0,0 +1,244 @@
+/** The leader's whole knowledge, owned by one owner and changed only by `step`. */
+import type { Timing } from '../settings.js';
+import type {
+  ExitReason,
+  FinalStage,
+  JobSpec,
+  ListedMachine,
+  MachineType,
+  ReportedTask,
+  TaskStage,
+} from './types.js';
+
+/** `mono`: steady clock, `wall`: time of day; both in milliseconds. */
+export interface Now {
+  readonly mono: number;
+  readonly wall: number;
+}
+
+export interface TeamLimits {
+  readonly cpus: number;
+  readonly cpusMax: number;
+  readonly gpus: number;
+  readonly gpusMax: number;
+}
+
+export interface Rules {
+  readonly timing: Timing;
+  readonly teams: ReadonlyMap<string, TeamLimits>;
+  /** Start aims by class, in milliseconds. */
+  readonly startWithin: ReadonlyMap<string, number>;
+  readonly chunkTasks: number;
+  readonly txnOps: number;
+  readonly listLag: number;
+  readonly policy: PolicyFigures;
+}
+
+/** What operators may change; see `policy`. */
+export interface PolicyFigures {
+  /** Expected run time of a task of this job, in milliseconds. */
+  readonly expectedRun: (job: JobSpec) => number;
+  /** A task past its expected end is expected to run on for so long, in milliseconds. */
+  readonly overrunAllowance: (job: JobSpec) => number;
+  /** Wait of a new leader before it places, in milliseconds. */
+  readonly placingWait: number;
+  /** How long an idle machine of this type is kept, in milliseconds. */
+  readonly idleHold: (type: MachineType) => number;
+  /** Share of a job's deadline slack that it may spend waiting for room. */
+  readonly deadlineSlack: (job: JobSpec) => number;
+}
+
+/** A task put on a machine and not yet proven gone from it. */
+export interface LiveClaim {
+  readonly job: JobState;
+  readonly task: number;
+  readonly attempt: number;
+  readonly machine: string;
+  readonly session: number;
+  readonly madeAt: number;
+  /** Version of its chunk that first held it: durable once that is committed. */
+  readonly version: number;
+  /** A start may have been sent, by this leader or one before. */
+  sent: boolean;
+  /** What the worker last reported of it. */
+  stage: TaskStage | null;
+  /** Steady time of its first report as running. */
+  runningSince: number | null;
+  expectedEnd: number;
+  /** To be stopped although its job goes on. */
+  unwanted: boolean;
+}
+
+export interface Chunk {
+  readonly index: number;
+  /** 0: the key does not exist; null: unknown until it is read again. */
+  stamp: number | null;
+  version: number;
+  committed: number;
+}
+
+export interface JobState {
+  readonly spec: JobSpec;
+  readonly stamp: number;
+  over: FinalStage | null;
+  readonly done: Uint8Array;
+  doneCount: number;
+  readonly attempts: Map<number, number>;
+  readonly claims: Map<number, LiveClaim>;
+  /** Tasks to place again, lowest first; before those from `cursor` on. */
+  readonly again: number[];
+  cursor: number;
+  readonly chunks: Map<number, Chunk>;
+  /** Errors in a row on machines that complete other work, and when to try again. */
+  errors: number;
+  retryAt: number;
+  readonly failedOn: Set<string>;
+}
+
+export interface Exit {
+  readonly job: JobState | null;
+  readonly chunk: Chunk | null;
+  readonly version: number;
+}
+
+export interface Machine {
+  readonly name: string;
+  address: string;
+  type: string;
+  zone: string;
+  spot: boolean;
+  /** Steady time of its rental request, as far as known. */
+  rentedAt: number;
+  session: number;
+  seq: number;
+  /** Steady time of its last report; null before the first that this leader saw. */
+  heardAt: number | null;
+  /** Its silence counts from here when it was never heard. */
+  knownAt: number;
+  /** Its latest report carried this leader's token: the whole truth about it. */
+  whole: boolean;
+  /** Steady time at which the cloud takes it away. */
+  takenAt: number | null;
+  listed: ListedMachine['stage'] | null;
+  readonly claims: Map<string, LiveClaim>;
+  readonly exits: Map<string, Exit>;
+  reported: readonly ReportedTask[];
+  /** Images it is believed to hold, most recently used last. */
+  readonly images: Map<string, number>;
+  idleSince: number;
+  /** Errors of distinct jobs since the last completion. */
+  readonly erredJobs: Set<string>;
+  /** Why it gets no more work and goes back; null while it is of use. */
+  leaving: string | null;
+  returnAskedAt: number | null;
+  /** The report waiting for an answer. */
+  held: { readonly reply: number; readonly since: number } | null;
+  raisedAt: number | null;
+}
+
+export interface Rental {
+  readonly request: string;
+  readonly type: string;
+  readonly zone: string;
+  readonly spot: boolean;
+  readonly count: number;
+  readonly askedAt: number;
+}
+
+export interface Leadership {
+  readonly term: number;
+  readonly stamp: number;
+  readonly since: number;
+  authorityUntil: number;
+}
+
+export interface Head {
+  readonly job: string;
+  readonly machine: string | null;
+  readonly shadow: number | null;
+  readonly reason: string;
+}
+
+export interface CoreState {
+  readonly node: string;
+  readonly rules: Rules;
+  leadership: Leadership | null;
+  types: ReadonlyMap<string, MachineType>;
+  readonly jobs: Map<string, JobState>;
+  readonly machines: Map<string, Machine>;
+  /** Machines given back, by name, oldest first; bounded. */
+  readonly gone: Set<string>;
+  readonly rentals: Map<string, Rental>;
+  /** Until when a kind of machine is not asked for again, by `type/zone/spot`. */
+  readonly refusedUntil: Map<string, number>;
+  nextRequest: number;
+  rentNotBefore: number;
+  commit: CommitInFlight | null;
+  recheck: readonly string[] | null;
+  commitNotBefore: number;
+  nextCommit: number;
+  placeDirty: boolean;
+  planAt: number;
+  head: Head | null;
+  /** Run time over estimate, by class, as completed tasks show it. */
+  readonly runRatio: Map<string, number>;
+}
+
+export interface CommitInFlight {
+  readonly id: number;
+  readonly chunks: readonly { readonly job: JobState; readonly chunk: Chunk; readonly version: number }[];
+  readonly ending: readonly JobState[];
+}
+
+export const taskKey = (job: string, task: number): string => `${job}/${task}`;
+
+export function createState(node: string, rules: Rules): CoreState {
+  return {
+    node,
+    rules,
+    leadership: null,
+    types: new Map(),
+    jobs: new Map(),
+    machines: new Map(),
+    gone: new Set(),
+    rentals: new Map(),
+    refusedUntil: new Map(),
+    nextRequest: 1,
+    rentNotBefore: 0,
+    commit: null,
+    recheck: null,
+    commitNotBefore: 0,
+    nextCommit: 1,
+    placeDirty: false,
+    planAt: 0,
+    head: null,
+    runRatio: new Map(),
+  };
+}
+
+/** Forgets everything a leader knew; machine types are nobody's secret. */
+export function forgetLeadership(state: CoreState): void {
+  state.leadership = null;
+  state.jobs.clear();
+  state.machines.clear();
+  state.gone.clear();
+  state.rentals.clear();
+  state.refusedUntil.clear();
+  state.commit = null;
+  state.recheck = null;
+  state.commitNotBefore = 0;
+  state.head = null;
+}
+
+export function isDone(job: JobState, task: number): boolean {
+  return ((job.done[task >> 3] ?? 0) & (1 << (task & 7))) !== 0;
+}
+
+/** Whether an exit has reached the state service, so that the worker may forget it. */
+export function isExitKept(exit: Exit): boolean {
+  return (
+    exit.job === null || exit.job.over !== null || exit.chunk === null || exit.version <= exit.chunk.committed
+  );
+}
+
+export type { ExitReason };
--- /dev/null
+++ b/src/core/step.ts
@@ -0,0 +1,202 @@
+/** One batch of commands into the state, and the effects that follow. */
+import { giveBack, rent, settleRental } from './capacity.js';
+import { place } from './easy.js';
+import type { Command, Effect } from './effects.js';
+import {
+  answer,
+  awaitsCommit,
+  dropReturned,
+  judgeMachines,
+  log,
+  machineNamed,
+  raiseTokens,
+  takeList,
+  takeReport,
+} from './fleet.js';
+import { addJob, endJob, loadChunk, nextCommit, settleCommit, settleRecheck } from './ledger.js';
+import { forgetLeadership, type CoreState, type Machine, type Now } from './state.js';
+
+function resign(state: CoreState, reason: string, effects: Effect[]): void {
+  if (state.leadership === null) return;
+  for (const machine of state.machines.values()) refuse(machine, effects);
+  forgetLeadership(state);
+  effects.push({ kind: 'steppedDown', reason });
+}
+
+function refuse(machine: Machine, effects: Effect[]): void {
+  if (machine.held === null) return;
+  effects.push({ kind: 'reply', reply: machine.held.reply, body: { kind: 'unable' } });
+  machine.held = null;
+}
+
+function removeJob(state: CoreState, id: string): void {
+  const job = state.jobs.get(id);
+  // One that is being ended by us is settled by the answer to that.
+  const ours = state.commit?.ending.some((ending) => ending.spec.id === id) ?? false;
+  const checked = state.recheck?.includes(id) ?? false;
+  if (job !== undefined && job.over === null && !ours && !checked) endJob(state, job, 'withdrawn');
+}
+
+function hasAuthority(state: CoreState, now: Now): boolean {
+  return state.leadership !== null && now.mono < state.leadership.authorityUntil;
+}
+
+function onReport(
+  state: CoreState,
+  command: Extract<Command, { kind: 'report' }>,
+  now: Now,
+  effects: Effect[],
+): void {
+  const { report, reply } = command;
+  const unable = (): void => {
+    effects.push({ kind: 'reply', reply, body: { kind: 'unable' } });
+  };
+  const lead = state.leadership;
+  if (lead !== null && report.token > lead.term) {
+    resign(state, `worker ${report.machine} has seen token ${report.token}`, effects);
+  }
+  if (!hasAuthority(state, now) || !takeReport(state, report, now, effects, false)) {
+    unable();
+    return;
+  }
+  const machine = machineNamed(state, report.machine, now);
+  // The worker has given up on its earlier report, and drops what would answer it.
+  refuse(machine, effects);
+  machine.held = { reply, since: now.mono };
+}
+
+function apply(state: CoreState, command: Command, now: Now, effects: Effect[]): void {
+  const machineOf = (name: string): Machine => machineNamed(state, name, now);
+  switch (command.kind) {
+    case 'tick':
+      if (state.leadership !== null) judgeMachines(state, now);
+      break;
+    case 'report':
+      onReport(state, command, now, effects);
+      break;
+    case 'direct':
+      if (state.leadership === null) break;
+      if (command.report.token > state.leadership.term) {
+        resign(state, `worker ${command.report.machine} has seen token ${command.report.token}`, effects);
+      } else takeReport(state, command.report, now, effects, true);
+      break;
+    case 'lead': {
+      forgetLeadership(state);
+      state.leadership = {
+        term: command.term,
+        stamp: command.stamp,
+        since: now.mono,
+        authorityUntil: command.provenAt + state.rules.timing.authority,
+      };
+      state.nextRequest = 1;
+      // The list may not show yet what the leader before has rented.
+      state.rentNotBefore = now.mono + 2 * state.rules.timing.longestReport;
+      for (const job of command.jobs) addJob(state, job);
+      for (const chunk of command.chunks) loadChunk(state, chunk, now, machineOf);
+      state.placeDirty = true;
+      log(effects, 'leading', {
+        term: command.term,
+        jobs: command.jobs.length,
+        chunks: command.chunks.length,
+      });
+      break;
+    }
+    case 'resign':
+      resign(state, command.reason, effects);
+      break;
+    case 'tokenSeen':
+      if (state.leadership !== null && command.token > state.leadership.term) {
+        resign(state, `a peer has seen token ${command.token}`, effects);
+      }
+      break;
+    case 'proof':
+      if (state.leadership !== null) {
+        state.leadership.authorityUntil = Math.max(
+          state.leadership.authorityUntil,
+          command.sentAt + state.rules.timing.authority,
+        );
+      }
+      break;
+    case 'jobAdded':
+      if (state.leadership !== null) addJob(state, command.job);
+      break;
+    case 'jobRemoved':
+      removeJob(state, command.id);
+      break;
+    case 'jobsReplaced': {
+      if (state.leadership === null) break;
+      const live = new Set(command.jobs.map((job) => job.value.id));
+      for (const job of command.jobs) addJob(state, job);
+      for (const [id, job] of state.jobs) {
+        if (job.stamp <= command.revision && !live.has(id)) removeJob(state, id);
+      }
+      break;
+    }
+    case 'committed':
+      if (settleCommit(state, command.id, command.outcome, now, effects) === 'deposed') {
+        resign(state, 'the term has been raised', effects);
+      }
+      break;
+    case 'rechecked':
+      settleRecheck(state, command.found, now, effects);
+      break;
+    case 'catalog':
+      state.types = new Map(command.types.map((type) => [type.name, type]));
+      state.placeDirty = true;
+      break;
+    case 'listed':
+      if (state.leadership !== null) takeList(state, command.machines, now, effects);
+      break;
+    case 'rented':
+      settleRental(state, command.request, command.outcome, now, effects, machineOf);
+      break;
+    case 'returned':
+      if (state.leadership === null) break;
+      if (command.ok) dropReturned(state, command.machines, effects);
+      else for (const name of command.machines) allowRetry(state, name);
+      break;
+  }
+}
+
+function allowRetry(state: CoreState, name: string): void {
+  const machine = state.machines.get(name);
+  if (machine !== undefined) machine.returnAskedAt = null;
+}
+
+function answerReports(state: CoreState, now: Now, effects: Effect[]): void {
+  for (const machine of state.machines.values()) {
+    if (machine.held === null) continue;
+    if (!hasAuthority(state, now)) refuse(machine, effects);
+    else if (!awaitsCommit(state, machine) || now.mono - machine.held.since >= state.rules.timing.replyHold) {
+      answer(state, machine, effects);
+    }
+  }
+}
+
+export function step(state: CoreState, commands: readonly Command[], now: Now): Effect[] {
+  const effects: Effect[] = [];
+  let ticked = false;
+  for (const command of commands) {
+    ticked ||= command.kind === 'tick';
+    apply(state, command, now, effects);
+  }
+  const lead = state.leadership;
+  if (lead === null) return effects;
+  const placing = now.mono >= lead.since + state.rules.policy.placingWait;
+  if (placing && (state.placeDirty || ticked)) {
+    state.placeDirty = false;
+    place(state, now);
+  }
+  const commit = nextCommit(state, now);
+  if (commit !== null) effects.push(commit);
+  answerReports(state, now, effects);
+  if (ticked) {
+    raiseTokens(state, now, effects);
+    if (placing && now.mono >= state.planAt) {
+      state.planAt = now.mono + state.rules.timing.longestReport;
+      rent(state, now, effects);
+    }
+    giveBack(state, now, effects);
+  }
+  return effects;
+}
--- /dev/null
+++ b/src/index.ts
@@ -0,0 +1,6 @@
+/** rowanferry as a library. */
+export { ControllerNode } from './node.js';
+export { parseSettings, settingsFaults, SettingsError, type PlatformSettings } from './settings.js';
+export { step } from './core/step.js';
+export { createState } from './core/state.js';
+export type { Command, Effect } from './core/effects.js';
--- /dev/null
+++ b/src/node.ts
@@ -0,0 +1,388 @@
+/** One controller: the owner and everything around it. */
+import { randomUUID } from 'node:crypto';
+import type { Server } from 'node:http';
+import { HttpCloud, type Cloud } from './adapters/cloud.js';
+import { Peers } from './adapters/peers.js';
+import { createPublicServer } from './adapters/server.js';
+import { HttpStateService, type StateService } from './adapters/state.js';
+import { Users } from './adapters/users.js';
+import { HttpWorkers, type Workers } from './adapters/workers.js';
+import { systemClock, type Clock } from './clock.js';
+import type { Effect, LoadedChunk, Recheck } from './core/effects.js';
+import { createState, type Rules } from './core/state.js';
+import type { EndedRecord, JobSpec, Stamped } from './core/types.js';
+import { Election, type Elected } from './election.js';
+import type { Log } from './logging.js';
+import { Owner } from './owner.js';
+import { defaultPolicy } from './policy.js';
+import { parseAddress, timing, type PlatformSettings, type Timing } from './settings.js';
+import type { JobCount, PeerStatus } from './wire/peers.js';
+import {
+  decodeChunk,
+  decodeEnded,
+  decodeJob,
+  endedKey,
+  JOB_PREFIX,
+  jobKey,
+  jobOfKey,
+  parseChunkKey,
+  RUN_PREFIX,
+} from './wire/records.js';
+import type { Entry } from './wire/state.js';
+import { encodeRedirect, encodeReply, parseReport } from './wire/workers.js';
+
+/** Bytes that one task may take in a chunk, generously. */
+const BYTES_PER_TASK = 64;
+const MOST_COUNTS = 500;
+
+export function rulesFor(settings: PlatformSettings): Rules {
+  const { cluster } = settings;
+  const startWithin = new Map<string, number>();
+  for (const aim of cluster.objectives) {
+    if (aim.kind === 'wait' && aim.class !== undefined && aim.within_s !== undefined) {
+      startWithin.set(aim.class, aim.within_s * 1000);
+    }
+  }
+  return {
+    timing: timing(settings),
+    teams: new Map(
+      cluster.teams.map((team) => [
+        team.name,
+        { cpus: team.cpus, cpusMax: team.cpus_max, gpus: team.gpus, gpusMax: team.gpus_max },
+      ]),
+    ),
+    startWithin,
+    chunkTasks: 8 * Math.max(1, Math.floor((cluster.state.value_kb * 1024) / BYTES_PER_TASK / 8)),
+    txnOps: cluster.state.txn_ops,
+    listLag: cluster.cloud.list_lag_s * 1000,
+    policy: defaultPolicy(settings),
+  };
+}
+
+function decodeJobs(entries: readonly Entry[]): Stamped<JobSpec>[] {
+  const jobs: Stamped<JobSpec>[] = [];
+  for (const { value, stamp } of entries) {
+    const spec = decodeJob(value);
+    if (spec !== null) jobs.push({ value: spec, stamp });
+  }
+  return jobs;
+}
+
+export class ControllerNode {
+  readonly #incarnation = randomUUID();
+  readonly #timing: Timing;
+  readonly #state: StateService;
+  readonly #cloud: Cloud;
+  readonly #workers: Workers;
+  readonly #peers: Peers;
+  readonly #election: Election;
+  readonly #owner: Owner;
+  readonly #server: Server;
+  readonly #replies = new Map<number, (status: number, body: string) => void>();
+  readonly #counts = new Map<string, JobCount>();
+  #nextReply = 1;
+  #leader: string | null = null;
+  #highestTerm = 0;
+  /** The term this node was elected for and still means to lead; 0: none. */
+  #leadingTerm = 0;
+
+  constructor(
+    private readonly settings: PlatformSettings,
+    private readonly log: Log,
+    private readonly clock: Clock = systemClock,
+  ) {
+    this.#timing = timing(settings);
+    this.#state = new HttpStateService(settings, clock);
+    this.#cloud = new HttpCloud(settings, clock);
+    this.#workers = new HttpWorkers(this.#timing.longestReport * 2);
+    const rules = rulesFor(settings);
+    this.#owner = new Owner(createState(settings.host_name, rules), clock, log, (effect) =>
+      this.#carryOut(effect),
+    );
+    this.#peers = new Peers(
+      settings,
+      this.#timing,
+      clock,
+      log,
+      () => this.#status(),
+      (status) => this.#onPeer(status),
+    );
+    this.#election = new Election(settings.host_name, this.#incarnation, this.#state, clock, this.#timing, {
+      elected: (won) => void this.#lead(won),
+      lost: () => {
+        this.#leadingTerm = 0;
+        this.#owner.push({ kind: 'resign', reason: 'the lease has ended' });
+      },
+      leaderKnown: (leader) => {
+        this.#leader = leader?.node ?? null;
+        this.#highestTerm = Math.max(this.#highestTerm, leader?.term ?? 0);
+      },
+    });
+    const users = new Users({
+      state: this.#state,
+      clock,
+      teams: rules.teams,
+      patience: this.#timing.stateTimeout,
+      types: () => this.#owner.state.types,
+      counts: (id) => this.#countOf(id),
+    });
+    this.#server = createPublicServer(
+      users,
+      { report: (body, done) => this.#onReport(body, done) },
+      () => this.#ready(),
+      () => this.#describe(),
+      settings.cluster.quota.sockets,
+    );
+  }
+
+  start(): void {
+    const { host, port } = parseAddress(this.settings.public_addr);
+    this.#server.on('error', (error) => this.log.error({ error: error.message }, 'public port'));
+    this.#server.listen(port, host);
+    this.#peers.start();
+    void this.#election.run();
+    void this.#keepCatalog();
+    void this.#keepList();
+    setInterval(() => this.#owner.push({ kind: 'tick' }), this.#timing.tick);
+    this.log.info({ node: this.settings.host_name, incarnation: this.#incarnation }, 'started');
+  }
+
+  #countOf(id: string): { done: number; running: number } | null {
+    const job = this.#owner.state.jobs.get(id);
+    if (this.#owner.state.leadership === null || job === undefined) return this.#counts.get(id) ?? null;
+    let running = 0;
+    for (const claim of job.claims.values()) if (claim.stage === 'running') running += 1;
+    return { done: job.doneCount, running };
+  }
+
+  #status(): PeerStatus {
+    const { state } = this.#owner;
+    const contact = this.#state.contactAt();
+    const counts: JobCount[] = [];
+    if (state.leadership !== null) {
+      for (const [id, job] of state.jobs) {
+        if (job.over !== null || counts.length >= MOST_COUNTS) continue;
+        counts.push({ id, ...(this.#countOf(id) ?? { done: 0, running: 0 }) });
+      }
+    }
+    return {
+      node: this.settings.host_name,
+      incarnation: this.#incarnation,
+      term: state.leadership?.term ?? this.#highestTerm,
+      leading: state.leadership !== null,
+      stateAgeMs: contact === null ? 0xffffffff : Math.max(0, Math.round(this.clock.mono() - contact)),
+      counts,
+    };
+  }
+
+  #onPeer(status: PeerStatus): void {
+    if (status.term > this.#highestTerm) {
+      this.#highestTerm = status.term;
+      this.#owner.push({ kind: 'tokenSeen', token: status.term });
+    }
+    if (!status.leading || status.term < this.#highestTerm) return;
+    if (this.#owner.state.leadership === null) this.#leader = status.node;
+    this.#counts.clear();
+    for (const count of status.counts) this.#counts.set(count.id, count);
+  }
+
+  /**
+   * A node that the state service alone refuses sends users elsewhere. When nobody is
+   * served, staying is better: each removal by the load balancer costs a growing pause.
+   */
+  #ready(): boolean {
+    const { state } = this.#owner;
+    if (state.types.size === 0) return false;
+    const stale = 2 * this.#timing.stateTimeout;
+    if (this.#status().stateAgeMs < stale) return true;
+    const now = this.clock.mono();
+    for (const { status, at } of this.#peers.heard.values()) {
+      if (now - at < stale / 2 && status.stateAgeMs < stale / 2) return false;
+    }
+    return true;
+  }
+
+  #describe(): object {
+    const { state } = this.#owner;
+    return {
+      node: this.settings.host_name,
+      leader: state.leadership === null ? this.#leader : this.settings.host_name,
+      term: state.leadership?.term ?? this.#highestTerm,
+      stateAgeMs: this.#status().stateAgeMs,
+      jobs: state.jobs.size,
+      machines: state.machines.size,
+      head: state.head,
+    };
+  }
+
+  #onReport(body: unknown, done: (status: number, body: string) => void): void {
+    const report = parseReport(body);
+    if (report === null) {
+      done(400, '{"error":"malformed report"}');
+      return;
+    }
+    if (this.#owner.state.leadership === null) {
+      done(421, encodeRedirect(this.#leader === this.settings.host_name ? null : this.#leader));
+      return;
+    }
+    const reply = this.#nextReply++;
+    this.#replies.set(reply, done);
+    this.#owner.push({ kind: 'report', reply, report });
+  }
+
+  #carryOut(effect: Effect): void {
+    switch (effect.kind) {
+      case 'reply': {
+        const done = this.#replies.get(effect.reply);
+        this.#replies.delete(effect.reply);
+        if (effect.body.kind === 'commands')
+          done?.(200, encodeReply(effect.body.token, effect.body.commands));
+        else done?.(503, '{}');
+        break;
+      }
+      case 'commit':
+        void this.#state.commit(effect.txn).then((outcome) => {
+          this.#owner.push({
+            kind: 'committed',
+            id: effect.id,
+            outcome: outcome.kind === 'noLease' ? { kind: 'refused' } : outcome,
+          });
+        });
+        break;
+      case 'recheck':
+        void this.#recheck(effect.jobs, effect.chunks);
+        break;
+      case 'direct':
+        void this.#workers
+          .direct(effect.address, effect.token, effect.session, effect.commands)
+          .then((report) => {
+            if (report !== null) this.#owner.push({ kind: 'direct', report });
+          });
+        break;
+      case 'rent':
+        void this.#cloud
+          .rent(effect.request, effect.type, effect.zone, effect.spot, effect.count)
+          .then((outcome) => this.#owner.push({ kind: 'rented', request: effect.request, outcome }));
+        break;
+      case 'return':
+        void this.#cloud.giveBack(effect.machines).then((ok) => {
+          this.#owner.push({ kind: 'returned', machines: effect.machines, ok });
+        });
+        break;
+      case 'steppedDown':
+        this.log.info({ reason: effect.reason }, 'stepped down');
+        this.#leader = null;
+        this.#leadingTerm = 0;
+        this.#election.abandon();
+        break;
+      case 'log':
+        this.log[effect.level](effect.detail, effect.event);
+        break;
+    }
+  }
+
+  async #recheck(ids: readonly string[], keys: readonly string[]): Promise<void> {
+    const jobs = new Map<string, { live: boolean; ended: EndedRecord | null }>();
+    const chunks = new Map<string, number>();
+    let whole = true;
+    for (const id of ids) {
+      const live = await this.#state.read(jobKey(id));
+      if (live === 'unknown') whole = false;
+      else if (live.entry !== null) jobs.set(id, { live: true, ended: null });
+      else {
+        const ended = await this.#state.read(endedKey(id));
+        if (ended === 'unknown') whole = false;
+        else jobs.set(id, { live: false, ended: decodeEnded(ended.entry?.value) });
+      }
+      if (!whole) break;
+    }
+    for (const key of whole ? keys : []) {
+      const read = await this.#state.read(key);
+      if (read === 'unknown') whole = false;
+      else if (read.entry !== null) chunks.set(key, read.entry.stamp);
+      if (!whole) break;
+    }
+    if (!whole) await this.clock.sleep(this.#timing.tick);
+    this.#owner.push({ kind: 'rechecked', found: whole ? ({ jobs, chunks } satisfies Recheck) : null });
+  }
+
+  /** Loads what the leaders before have committed, then follows the jobs. */
+  async #lead(won: Elected): Promise<void> {
+    this.#highestTerm = Math.max(this.#highestTerm, won.term);
+    this.#leader = this.settings.host_name;
+    this.#leadingTerm = won.term;
+    this.log.info({ term: won.term }, 'elected');
+    for (;;) {
+      const sentAt = this.clock.mono();
+      const [jobs, runs] = await Promise.all([this.#state.list(JOB_PREFIX), this.#state.list(RUN_PREFIX)]);
+      if (this.#leadingTerm !== won.term || this.#highestTerm > won.term) return;
+      if (jobs === 'unknown' || runs === 'unknown') {
+        await this.clock.sleep(this.#timing.tick);
+        continue;
+      }
+      const chunks: LoadedChunk[] = [];
+      for (const { key, value, stamp } of runs.entries) {
+        const name = parseChunkKey(key);
+        const record = decodeChunk(value);
+        if (name !== null && record !== null) chunks.push({ ...name, record: { value: record, stamp } });
+      }
+      const { term, stamp } = won;
+      this.#owner.push({
+        kind: 'lead',
+        term,
+        stamp,
+        provenAt: sentAt,
+        jobs: decodeJobs(jobs.entries),
+        chunks,
+      });
+      await this.#follow(term, jobs.revision);
+      return;
+    }
+  }
+
+  /** Watches the jobs while this node leads; each answer proves how fresh its view is. */
+  async #follow(term: number, revision: number): Promise<void> {
+    let after = revision;
+    while (this.#leadingTerm === term) {
+      const sentAt = this.clock.mono();
+      const found = await this.#state.watch(JOB_PREFIX, after, this.#timing.watchWait);
+      if (found.kind === 'unknown') {
+        await this.clock.sleep(this.#timing.tick);
+      } else if (found.kind === 'tooOld') {
+        const jobs = await this.#state.list(JOB_PREFIX);
+        if (jobs === 'unknown') continue;
+        after = jobs.revision;
+        this.#owner.push({ kind: 'jobsReplaced', jobs: decodeJobs(jobs.entries), revision: jobs.revision });
+        this.#owner.push({ kind: 'proof', sentAt });
+      } else {
+        after = found.revision;
+        for (const { key, value, stamp } of found.changes) {
+          const spec = decodeJob(value);
+          if (value === undefined) this.#owner.push({ kind: 'jobRemoved', id: jobOfKey(key) });
+          else if (spec !== null) this.#owner.push({ kind: 'jobAdded', job: { value: spec, stamp } });
+        }
+        this.#owner.push({ kind: 'proof', sentAt });
+      }
+    }
+  }
+
+  async #keepCatalog(): Promise<void> {
+    for (;;) {
+      const types = await this.#cloud.catalog();
+      if (types !== null) this.#owner.push({ kind: 'catalog', types });
+      await this.clock.sleep(types === null ? this.#timing.tick : 6 * this.#timing.workerLease);
+    }
+  }
+
+  async #keepList(): Promise<void> {
+    const pause = Math.max(this.#timing.longestReport, (this.settings.cluster.cloud.list_lag_s * 1000) / 4);
+    for (;;) {
+      if (this.#owner.state.leadership !== null) {
+        const askedAt = this.clock.mono();
+        const machines = await this.#cloud.machines();
+        if (machines !== null) this.#owner.push({ kind: 'listed', askedAt, machines });
+      }
+      await this.clock.sleep(pause);
+    }
+  }
+}
--- /dev/null
+++ b/src/owner.ts
@@ -0,0 +1,57 @@
+/** The one owner of a node's scheduling state: a queue of commands, worked off in batches. */
+import { buffer, exhaustMap, Observable, Subject, type Subscription } from 'rxjs';
+import type { Clock } from './clock.js';
+import type { Command, Effect } from './core/effects.js';
+import { step } from './core/step.js';
+import type { CoreState } from './core/state.js';
+import type { Log } from './logging.js';
+
+/** Emits once the input that is ready now has been read. */
+const nextTurn = new Observable<void>((subscriber) => {
+  const turn = setImmediate(() => {
+    subscriber.next();
+    subscriber.complete();
+  });
+  return () => clearImmediate(turn);
+});
+
+export class Owner {
+  readonly #commands = new Subject<Command>();
+  readonly #subscription: Subscription;
+
+  constructor(
+    readonly state: CoreState,
+    private readonly clock: Clock,
+    private readonly log: Log,
+    private readonly carryOut: (effect: Effect) => void,
+  ) {
+    this.#subscription = this.#commands
+      .pipe(buffer(this.#commands.pipe(exhaustMap(() => nextTurn))))
+      .subscribe((batch) => this.#work(batch));
+  }
+
+  push(command: Command): void {
+    this.#commands.next(command);
+  }
+
+  close(): void {
+    this.#subscription.unsubscribe();
+  }
+
+  #work(batch: readonly Command[]): void {
+    const now = { mono: this.clock.mono(), wall: this.clock.wall() };
+    let effects: Effect[];
+    try {
+      effects = step(this.state, batch, now);
+    } catch (error) {
+      // No fault of one batch may end the process. Half-done knowledge is dropped with
+      // the leadership; the state service has the truth.
+      this.log.error(
+        { error: String(error), stack: error instanceof Error ? error.stack : '' },
+        'step failed',
+      );
+      effects = step(this.state, [{ kind: 'resign', reason: 'internal fault' }], now);
+    }
+    for (const effect of effects) this.carryOut(effect);
+  }
+}
--- /dev/null
+++ b/src/policy.ts
@@ -0,0 +1,14 @@
+/** The figures operators may set; these are the defaults. */
+import type { PolicyFigures } from './core/state.js';
+import { timing, type PlatformSettings } from './settings.js';
+
+export function defaultPolicy(settings: PlatformSettings): PolicyFigures {
+  const { longestReport, workerLease } = timing(settings);
+  return {
+    expectedRun: (job) => job.estimateS * 1000,
+    overrunAllowance: () => workerLease,
+    placingWait: longestReport,
+    idleHold: (type) => type.bootS * 1000,
+    deadlineSlack: () => 0.5,
+  };
+}
--- /dev/null
+++ b/src/settings.ts
@@ -0,0 +1,134 @@
+/** The platform's settings file: its shape, and the figures the service derives from it. */
+import { readFileSync } from 'node:fs';
+import * as v from 'valibot';
+
+const text = v.pipe(v.string(), v.nonEmpty());
+const amount = v.pipe(v.number(), v.finite(), v.minValue(0));
+const positive = v.pipe(v.number(), v.finite(), v.gtValue(0));
+const count = v.pipe(v.number(), v.integer(), v.minValue(1));
+const address = v.pipe(v.string(), v.regex(/^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/, 'must be IP:PORT'));
+
+const settingsSchema = v.object({
+  host_name: text,
+  zone: text,
+  public_addr: address,
+  peer_bind: address,
+  others: v.array(v.object({ host_name: text, zone: text, peer_addr: address })),
+  endpoints: v.object({ cloud: address, state: address }),
+  cluster: v.object({
+    zones: v.array(text),
+    teams: v.array(v.object({ name: text, cpus: amount, cpus_max: amount, gpus: amount, gpus_max: amount })),
+    objectives: v.optional(
+      v.array(
+        v.object({
+          kind: text,
+          class: v.optional(text),
+          share: v.optional(amount),
+          times: v.optional(amount),
+          within_s: v.optional(amount),
+          within_ms: v.optional(amount),
+        }),
+      ),
+      [],
+    ),
+    workers: v.object({
+      report_s: positive,
+      lease_s: positive,
+      gang_wait_s: v.optional(amount, 0),
+      gang_peer_s: v.optional(amount, 0),
+      cancel_s: positive,
+    }),
+    state: v.object({ rps: positive, write_rps: positive, value_kb: positive, txn_ops: count }),
+    cloud: v.object({ rps: positive, list_lag_s: amount }),
+    quota: v.object({ cpu: positive, ram_mb: positive, sockets: count }),
+    clock_error_ms: amount,
+  }),
+});
+
+export type PlatformSettings = v.InferOutput<typeof settingsSchema>;
+
+export interface Address {
+  readonly host: string;
+  readonly port: number;
+}
+
+export function parseAddress(addr: string): Address {
+  const at = addr.lastIndexOf(':');
+  return { host: addr.slice(0, at), port: Number(addr.slice(at + 1)) };
+}
+
+export class SettingsError extends Error {}
+
+/** Every fault of a settings document, each as `field: reason`; empty when it is sound. */
+export function settingsFaults(document: unknown): string[] {
+  const result = v.safeParse(settingsSchema, document);
+  return result.success
+    ? []
+    : result.issues.map((issue) => `${v.getDotPath(issue) ?? 'settings'}: ${issue.message}`);
+}
+
+export function parseSettings(document: unknown): PlatformSettings {
+  const result = v.safeParse(settingsSchema, document);
+  if (result.success) return result.output;
+  throw new SettingsError(settingsFaults(document)[0] ?? 'settings: invalid');
+}
+
+export function readDocument(file: string): unknown {
+  let source: string;
+  try {
+    source = readFileSync(file, 'utf8');
+  } catch (error) {
+    throw new SettingsError(`${file}: ${error instanceof Error ? error.message : 'cannot be read'}`);
+  }
+  try {
+    return JSON.parse(source) as unknown;
+  } catch (error) {
+    throw new SettingsError(`${file}: not JSON: ${error instanceof Error ? error.message : ''}`);
+  }
+}
+
+/**
+ * The service's own time constants, in milliseconds, each a ratio to a figure of
+ * the settings.
+ */
+export interface Timing {
+  /** Life of the leader's lease in the state service. */
+  readonly leaderLease: number;
+  readonly renewEvery: number;
+  /** How long one read proving freshness lets a leader answer workers. */
+  readonly authority: number;
+  readonly workerLease: number;
+  /** Longest time between two reports of a worker. */
+  readonly longestReport: number;
+  /** A machine silent for longer is given back. */
+  readonly silence: number;
+  readonly cancel: number;
+  /** Wait of one state watch. */
+  readonly watchWait: number;
+  /** Bound on one request to the state service. */
+  readonly stateTimeout: number;
+  readonly tick: number;
+  /** How long a report may wait for the commit that its starts need. */
+  readonly replyHold: number;
+}
+
+export function timing(settings: PlatformSettings): Timing {
+  const { report_s, lease_s, cancel_s } = settings.cluster.workers;
+  const lease = lease_s * 1000;
+  const report = report_s * 1000;
+  return {
+    leaderLease: Math.max(1000, 0.3 * lease),
+    renewEvery: Math.max(250, 0.07 * lease),
+    // A tenth of cancel_s is the margin for late timers, drifting clocks and the
+    // worker's own reaction.
+    authority: Math.max(0, (0.9 * cancel_s - lease_s) * 1000),
+    workerLease: lease,
+    longestReport: 1.25 * report,
+    silence: lease + 1.25 * report,
+    cancel: cancel_s * 1000,
+    watchWait: 0.1 * lease,
+    stateTimeout: 0.15 * lease,
+    tick: 0.25 * report,
+    replyHold: 0.25 * report,
+  };
+}
--- /dev/null
+++ b/src/wire/peers.ts
@@ -0,0 +1,81 @@
+/** What controllers tell one another: length-delimited protobuf messages. */
+import protobuf from 'protobufjs/light.js';
+
+export interface JobCount {
+  readonly id: string;
+  readonly done: number;
+  readonly running: number;
+}
+
+export interface PeerStatus {
+  readonly node: string;
+  readonly incarnation: string;
+  readonly term: number;
+  readonly leading: boolean;
+  /** Milliseconds since the state service last answered this node. */
+  readonly stateAgeMs: number;
+  readonly counts: readonly JobCount[];
+}
+
+const root = protobuf.Root.fromJSON({
+  nested: {
+    JobCount: {
+      fields: {
+        id: { type: 'string', id: 1 },
+        done: { type: 'uint32', id: 2 },
+        running: { type: 'uint32', id: 3 },
+      },
+    },
+    PeerStatus: {
+      fields: {
+        node: { type: 'string', id: 1 },
+        incarnation: { type: 'string', id: 2 },
+        term: { type: 'double', id: 3 },
+        leading: { type: 'bool', id: 4 },
+        stateAgeMs: { type: 'uint32', id: 5 },
+        counts: { rule: 'repeated', type: 'JobCount', id: 6 },
+      },
+    },
+  },
+});
+const statusType = root.lookupType('PeerStatus');
+
+/** The largest message a peer may send. */
+export const MOST_FRAME = 64 * 1024;
+
+export function encodeStatus(status: PeerStatus): Uint8Array {
+  return statusType.encodeDelimited({ ...status }).finish();
+}
+
+/** Splits a stream into messages; throws on garbage or an oversized frame. */
+export class StatusReader {
+  #rest: Uint8Array = new Uint8Array(0);
+
+  push(part: Uint8Array): PeerStatus[] {
+    this.#rest = this.#rest.length === 0 ? part : Buffer.concat([this.#rest, part]);
+    const found: PeerStatus[] = [];
+    for (;;) {
+      const frame = this.#frame();
+      if (frame === null) return found;
+      const message = statusType.decode(frame);
+      const decoded = statusType.toObject(message, { defaults: true, arrays: true });
+      found.push(decoded as PeerStatus);
+    }
+  }
+
+  #frame(): Uint8Array | null {
+    let length = 0;
+    for (let at = 0; at < this.#rest.length; at += 1) {
+      const byte = this.#rest[at] ?? 0;
+      length += (byte & 0x7f) * 2 ** (7 * at);
+      if (length > MOST_FRAME || at > 3) throw new RangeError('oversized frame');
+      if ((byte & 0x80) !== 0) continue;
+      const end = at + 1 + length;
+      if (this.#rest.length < end) return null;
+      const frame = this.#rest.subarray(at + 1, end);
+      this.#rest = this.#rest.subarray(end);
+      return frame;
+    }
+    return null;
+  }
+}
--- /dev/null
+++ b/src/wire/state.ts
@@ -0,0 +1,101 @@
+/** The state service's interface. */
+import { asObject, isCount, isText } from './json.js';
+
+export interface Entry {
+  readonly key: string;
+  readonly value: unknown;
+  readonly stamp: number;
+}
+
+export interface Change {
+  readonly key: string;
+  /** Undefined: the key was removed. */
+  readonly value: unknown;
+  readonly stamp: number;
+}
+
+export interface Condition {
+  readonly key: string;
+  /** 0: the key must not exist. */
+  readonly stamp: number;
+}
+
+export type Write =
+  { readonly put: string; readonly value: unknown; readonly lease?: number } | { readonly remove: string };
+
+export interface Transaction {
+  readonly when: readonly Condition[];
+  readonly apply: readonly Write[];
+}
+
+export function encodeTransaction(txn: Transaction): string {
+  return JSON.stringify({
+    when: txn.when,
+    apply: txn.apply.map((write) =>
+      'put' in write
+        ? {
+            put: write.put,
+            data: write.value,
+            ...(write.lease === undefined ? {} : { permit: write.lease }),
+          }
+        : { remove: write.remove },
+    ),
+  });
+}
+
+function parseEntry(body: unknown): Entry | null {
+  const raw = asObject(body);
+  if (raw === null || !isText(raw['key']) || !isCount(raw['stamp'])) return null;
+  return { key: raw['key'], value: raw['data'], stamp: raw['stamp'] };
+}
+
+export const parseValue = parseEntry;
+
+export function parseRevision(body: unknown): number | null {
+  const revision = asObject(body)?.['ledgerRev'];
+  return isCount(revision) ? revision : null;
+}
+
+export function parseFailed(body: unknown): string[] | null {
+  const failed = asObject(body)?.['failed'];
+  return Array.isArray(failed) && failed.every(isText) ? failed : null;
+}
+
+export function parsePage(body: unknown): { entries: Entry[]; more: boolean; revision: number } | null {
+  const raw = asObject(body);
+  const revision = parseRevision(body);
+  if (raw === null || revision === null || !Array.isArray(raw['rows'])) return null;
+  const entries: Entry[] = [];
+  for (const row of raw['rows'] as unknown[]) {
+    const entry = parseEntry(row);
+    if (entry === null) return null;
+    entries.push(entry);
+  }
+  return { entries, more: raw['truncated'] === true, revision };
+}
+
+export function parseChanges(body: unknown): { changes: Change[]; revision: number } | null {
+  const raw = asObject(body);
+  const revision = parseRevision(body);
+  if (raw === null || revision === null || !Array.isArray(raw['events'])) return null;
+  const changes: Change[] = [];
+  for (const body of raw['events'] as unknown[]) {
+    const event = asObject(body);
+    if (event === null || !isCount(event['stamp'])) return null;
+    if (isText(event['put'])) {
+      changes.push({ key: event['put'], value: event['data'], stamp: event['stamp'] });
+    } else if (isText(event['remove'])) {
+      changes.push({ key: event['remove'], value: undefined, stamp: event['stamp'] });
+    } else {
+      return null;
+    }
+  }
+  return { changes, revision };
+}
+
+export function parseLease(body: unknown): number | null {
+  const lease = asObject(body)?.['permit'];
+  return isCount(lease) ? lease : null;
+}
+
+export const encodeLife = (ms: number): string => JSON.stringify({ lifeMs: Math.round(ms) });
--- /dev/null
+++ b/src/wire/users.ts
@@ -0,0 +1,98 @@
+/** The users' interface: job descriptions in, answers out. */
+import type { FinalStage, JobSpec, Priority } from '../core/types.js';
+import { asObject, isAmount, isCount, isFlag, isText } from './json.js';
+
+export const JOB_ID = /^req-\d{1,18}$/;
+export const MAX_TASKS = 100_000;
+
+const PRIORITIES = new Map<unknown, Priority>([
+  ['prod', 0],
+  ['high', 1],
+  ['normal', 2],
+  ['best_effort', 3],
+]);
+
+export type Parsed<T> =
+  { readonly ok: true; readonly value: T } | { readonly ok: false; readonly reason: string };
+
+class Invalid extends Error {}
+
+/** Reads a submission; the reason names the first field at fault. */
+export function parseSubmission(body: unknown, now: number): Parsed<JobSpec> {
+  const raw = asObject(body);
+  if (raw === null) return { ok: false, reason: 'the body must be a JSON object' };
+  const need = <T>(field: string, test: (value: unknown) => value is T, what: string): T => {
+    const value = raw[field];
+    if (!test(value)) throw new Invalid(`${field} must be ${what}`);
+    return value;
+  };
+  const amount = (field: string): number => need(field, isAmount, 'a number of at least 0');
+  const optional = (field: string): unknown => raw[field] ?? null;
+  try {
+    const id = need('nameId', isText, 'a job id');
+    if (!JOB_ID.test(id)) throw new Invalid('nameId must be of the form req-000000');
+    const jobClass = need('repertoire', isText, 'a text');
+    const team = need('crew', isText, 'a text');
+    const form = need('form', isText, 'array or service');
+    if (form !== 'array' && form !== 'service') throw new Invalid('form must be array or service');
+    const priority = PRIORITIES.get(raw['urgency']);
+    if (priority === undefined) throw new Invalid('urgency must be prod, high, normal or best_effort');
+    const tasks = need('movements', isCount, 'a whole number');
+    if (tasks < 1 || tasks > MAX_TASKS) throw new Invalid(`movements must be 1 to ${MAX_TASKS}`);
+    const types = optional('benches');
+    if (types !== null && !(Array.isArray(types) && types.every(isText))) {
+      throw new Invalid('benches must be null or a list of texts');
+    }
+    const zone = optional('hall');
+    if (zone !== null && !isText(zone)) throw new Invalid('hall must be null or a text');
+    const deadlineS = optional('curtainS');
+    if (deadlineS !== null && !isAmount(deadlineS)) throw new Invalid('curtainS must be null or a number');
+    return {
+      ok: true,
+      value: {
+        id,
+        jobClass,
+        team,
+        service: form === 'service',
+        priority,
+        tasks,
+        cpus: amount('cores'),
+        gpus: amount('gpus'),
+        memoryGb: amount('memGb'),
+        image: need('edition', isText, 'a text'),
+        imageGb: amount('pullGb'),
+        types: types as string[] | null,
+        zone,
+        oneZone: need('together', isFlag, 'true or false'),
+        spread: need('apart', isFlag, 'true or false'),
+        spot: need('borrowed', isFlag, 'true or false'),
+        estimateS: amount('expectedS'),
+        checkpointS: amount('bookmarkS'),
+        saveS: amount('bookmarkWriteS'),
+        deadlineS,
+        submittedAt: now,
+      },
+    };
+  } catch (error) {
+    if (error instanceof Invalid) return { ok: false, reason: error.message };
+    throw error;
+  }
+}
+
+export type JobStage = 'pending' | 'running' | FinalStage;
+
+export interface JobView {
+  readonly id: string;
+  readonly stage: JobStage;
+  readonly done?: number;
+  readonly running?: number;
+}
+
+export function encodeJobView(view: JobView): object {
+  return {
+    nameId: view.id,
+    stage: view.stage,
+    ...(view.done === undefined ? {} : { done: view.done }),
+    ...(view.running === undefined ? {} : { running: view.running }),
+  };
+}
--- /dev/null
+++ b/src/wire/workers.ts
@@ -0,0 +1,97 @@
+/** The workers' interface: reports in, commands out. */
+import type { ExitReason, Report, ReportedTask, TaskStage, WorkerCommand } from '../core/types.js';
+import { asObject, isCount, isFlag, isText, isAmount } from './json.js';
+
+const STAGES = new Map<unknown, TaskStage>([
+  ['pulling', 'fetching'],
+  ['running', 'running'],
+  ['waiting', 'running'],
+  ['flushing', 'saving'],
+  ['ended', 'exited'],
+]);
+
+const EXITS = new Map<unknown, ExitReason>([
+  ['done', 'done'],
+  ['halted', 'stopped'],
+  ['peers', 'stopped'],
+  ['alone', 'stopped'],
+  ['error', 'error'],
+  ['full', 'no_room'],
+  ['in_use', 'busy'],
+  ['no_such', 'unknown'],
+]);
+
+/** Splits `req-000412/3` into job and task number. */
+export function parseTaskName(name: unknown): { job: string; task: number } | null {
+  if (typeof name !== 'string') return null;
+  const at = name.lastIndexOf('/');
+  const task = Number(name.slice(at + 1));
+  if (at < 1 || at === name.length - 1 || !Number.isSafeInteger(task) || task < 0) return null;
+  return { job: name.slice(0, at), task };
+}
+
+function parseTask(body: unknown): ReportedTask | null {
+  const raw = asObject(body);
+  if (raw === null) return null;
+  const name = parseTaskName(raw['movement']);
+  const stage = STAGES.get(raw['stage']);
+  if (name === null || stage === undefined || !isCount(raw['take'])) return null;
+  // An exit for a reason this version does not know still is an exit.
+  const exit = stage === 'exited' ? (EXITS.get(raw['cadence']) ?? 'error') : null;
+  return { job: name.job, task: name.task, attempt: raw['take'], stage, exit };
+}
+
+/** A worker's report, or null if it is malformed in any part. */
+export function parseReport(body: unknown): Report | null {
+  const raw = asObject(body);
+  if (raw === null) return null;
+  const { skiff, address, bench, hall, borrowed, watch, barNo, baton } = raw;
+  const notice = raw['recallS'] ?? null;
+  if (!isText(skiff) || !isText(address) || !isText(bench) || !isText(hall)) return null;
+  if (!isFlag(borrowed) || !isCount(watch) || !isCount(barNo) || !isCount(baton)) return null;
+  if (notice !== null && !isAmount(notice)) return null;
+  const listed = raw['movements'] ?? [];
+  if (!Array.isArray(listed)) return null;
+  const tasks: ReportedTask[] = [];
+  for (const entry of listed as unknown[]) {
+    const task = parseTask(entry);
+    if (task === null) return null;
+    tasks.push(task);
+  }
+  return {
+    machine: skiff,
+    address,
+    type: bench,
+    zone: hall,
+    spot: borrowed,
+    session: watch,
+    seq: barNo,
+    token: baton,
+    noticeS: notice,
+    tasks,
+  };
+}
+
+function encodeCommand(command: WorkerCommand): object {
+  const movement = `${command.job}/${command.task}`;
+  switch (command.op) {
+    case 'start':
+      return { cue: 'start', movement, take: command.attempt };
+    case 'stop':
+      return { cue: 'halt', movement, take: command.attempt, fermataS: command.graceS };
+    case 'forget':
+      return { cue: 'reap', movement, take: command.attempt };
+  }
+}
+
+export function encodeReply(token: number, commands: readonly WorkerCommand[]): string {
+  return JSON.stringify({ baton: token, cues: commands.map(encodeCommand) });
+}
+
+export function encodeDirect(token: number, session: number, commands: readonly WorkerCommand[]): string {
+  return JSON.stringify({ baton: token, watch: session, cues: commands.map(encodeCommand) });
+}
+
+export function encodeRedirect(leader: string | null): string {
+  return JSON.stringify(leader === null ? {} : { conductor: leader });
+}
