Keep room ready for start aims, scarce types for those who need them, overdue jobs behind

Cause: opening-rush waited for boots (35 s) at every burst, its 2-core tasks sat on the only type stop-mix fits, and late stop-mix jobs made all that followed late too. Ruled out: processor time (mean 0.05 of a core) and refusals by the state service (none).

--- a/src/adapters/users.ts
+++ b/src/adapters/users.ts
@@ -1,7 +1,6 @@
 /** The users' requests, served by every node straight from the state service. */
 import type { Clock } from '../clock.js';
-import { fits, roomOf } from '../core/easy.js';
-import { allows } from '../core/easy.js';
+import { allows, fits } from '../core/room.js';
 import type { TeamLimits } from '../core/state.js';
 import type { EndedRecord, JobSpec, MachineType } from '../core/types.js';
 import { decodeEnded, decodeJob, endedKey, jobKey } from '../wire/records.js';
@@ -48,10 +47,10 @@
       const zones = type.zones.some(
         (zone) => allows(spec, type.name, zone, false) || allows(spec, type.name, zone, true),
       );
-      fitting ||= zones && fits(spec, roomOf(type));
+      fitting ||= zones && fits(spec, type);
     }
     if (!fitting) return 'a task fits no allowed machine type';
-    const count = spec.service ? spec.tasks : 1;
+    const count = spec.form === 'array' ? 1 : spec.tasks;
     if (limits.cpusMax > 0 && spec.cpus * count > limits.cpusMax)
       return 'more cores than the limit of the crew';
     if (limits.gpusMax > 0 && spec.gpus * count > limits.gpusMax)
--- a/src/core/capacity.ts
+++ b/src/core/capacity.ts
@@ -1,26 +1,32 @@
 /** Renting and giving back: how much, of what kind, and when. */
-import { allows, expectedEnd, fits, freeRoom, give, roomOf, take, type Room } from './easy.js';
+import { expectedEnd, onlyType } from './easy.js';
 import type { Effect } from './effects.js';
 import { log } from './fleet.js';
 import { waitingTasks } from './ledger.js';
-import { waitingJobs } from './queue.js';
+import { aimsLost, expectedRun, timeLeft, waitingJobs } from './queue.js';
+import { allows, fits, freeRoom, give, roomOf, take, type Need, type Room } from './room.js';
 import type { CoreState, JobState, Machine, Now } from './state.js';
-import type { MachineType } from './types.js';
+import type { JobSpec, MachineType } from './types.js';
 
 const MOST_PER_RENTAL = 50;
 const MOST_RETURNED = 100;
+const MOST_PLANNED = 2000;
 /** A machine is paid for at least so long, says the cloud's price list. */
 const LEAST_PAID_MS = 60_000;
+/** How much dearer a type seems to jobs with a choice while others can use nothing else. */
+const SCARCE_FACTOR = 4;
 
 /** A machine in the plan: its free room over time, as a list of ends to come. */
 interface Planned {
+  /** Null: not rented yet. */
+  readonly machine: string | null;
   readonly type: MachineType;
   readonly zone: string;
   readonly spot: boolean;
   readonly readyAt: number;
   readonly free: Room;
   readonly ends: { at: number; room: Room }[];
-  readonly kind: Kind | null;
+  used: boolean;
 }
 
 interface Kind {
@@ -30,12 +36,12 @@
   readonly price: number;
 }
 
-export const kindKey = (type: string, zone: string, spot: boolean): string =>
+const kindKey = (type: string, zone: string, spot: boolean): string =>
   `${type}/${zone}/${spot ? 'spot' : 'ordinary'}`;
 
 /** When a task that needs so much could start on a planned machine. */
-function earliest(planned: Planned, need: Room): number | null {
-  if (!fits(need, roomOf(planned.type))) return null;
+function earliest(planned: Planned, need: Need): number | null {
+  if (!fits(need, planned.type)) return null;
   const free = { ...planned.free };
   if (fits(need, free)) return planned.readyAt;
   for (const { at, room } of planned.ends) {
@@ -45,15 +51,15 @@
   return null;
 }
 
-function occupy(planned: Planned, need: Room, from: number, until: number): void {
-  while (planned.ends.length > 0 && (planned.ends[0]?.at ?? Infinity) <= from) {
+function occupy(planned: Planned, need: Need, from: number, until: number): void {
+  while ((planned.ends[0]?.at ?? Infinity) <= from) {
     const first = planned.ends.shift();
     if (first !== undefined) give(planned.free, first.room);
   }
   take(planned.free, need);
-  const { cpus, gpus, memoryGb } = need;
   const at = planned.ends.findIndex((end) => end.at > until);
-  planned.ends.splice(at < 0 ? planned.ends.length : at, 0, { at: until, room: { cpus, gpus, memoryGb } });
+  planned.ends.splice(at < 0 ? planned.ends.length : at, 0, { at: until, room: roomOf(need) });
+  planned.used = true;
 }
 
 function planMachines(state: CoreState, now: Now): Planned[] {
@@ -61,106 +67,185 @@
   for (const machine of state.machines.values()) {
     const type = state.types.get(machine.type);
     if (type === undefined || machine.leaving !== null || machine.takenAt !== null) continue;
-    const { zone, spot } = machine;
+    const { name, zone, spot } = machine;
     const booted = machine.rentedAt + type.bootS * 1000;
     // One that is late is expected within half a boot time from now.
     const readyAt = machine.heardAt !== null ? now.mono : Math.max(booted, now.mono + type.bootS * 500);
     const ends = [...machine.claims.values()].map((claim) => ({
       at: expectedEnd(state, claim, now),
-      room: { cpus: claim.job.spec.cpus, gpus: claim.job.spec.gpus, memoryGb: claim.job.spec.memoryGb },
+      room: roomOf(claim.job.spec),
     }));
     ends.sort((a, b) => a.at - b.at);
-    planned.push({ type, zone, spot, readyAt, free: freeRoom(machine, type), ends, kind: null });
+    const used = ends.length > 0;
+    planned.push({ machine: name, type, zone, spot, readyAt, free: freeRoom(machine, type), ends, used });
   }
   for (const rental of state.rentals.values()) {
     const type = state.types.get(rental.type);
     if (type === undefined) continue;
-    for (let i = 0; i < rental.count; i += 1) {
-      const readyAt = now.mono + type.bootS * 1000;
-      planned.push({
-        type,
-        zone: rental.zone,
-        spot: rental.spot,
-        readyAt,
-        free: roomOf(type),
-        ends: [],
-        kind: null,
-      });
-    }
+    for (let i = 0; i < rental.count; i += 1) planned.push(newMachine(type, rental.zone, rental.spot, now));
   }
-  return planned;
+  // Busy machines come first and dear ones last, so that dear idle ones fall out of use.
+  return planned.sort((a, b) => Number(b.used) - Number(a.used) || Number(b.spot) - Number(a.spot));
+}
+
+function newMachine(type: MachineType, zone: string, spot: boolean, now: Now): Planned {
+  const readyAt = now.mono + type.bootS * 1000;
+  return { machine: null, type, zone, spot, readyAt, free: roomOf(type), ends: [], used: false };
 }
 
 /** Kinds of machine that may be asked for now, the cheapest room first. */
-function kindsFor(state: CoreState, job: JobState, now: Now): Kind[] {
+function kindsFor(
+  state: CoreState,
+  spec: JobSpec,
+  scarce: ReadonlySet<string>,
+  choosy: boolean,
+  now: Now,
+): Kind[] {
   const kinds: Kind[] = [];
   for (const type of state.types.values()) {
-    if (!fits(job.spec, roomOf(type))) continue;
+    if (!fits(spec, type)) continue;
+    const each = Math.min(
+      type.cpus / Math.max(1e-6, spec.cpus),
+      type.memoryGb / Math.max(1e-6, spec.memoryGb),
+    );
+    const factor = (choosy && scarce.has(type.name) ? SCARCE_FACTOR : 1) / Math.max(1, Math.floor(each));
     for (const zone of type.zones) {
       for (const spot of [true, false]) {
-        if (!allows(job.spec, type.name, zone, spot)) continue;
+        if (!allows(spec, type.name, zone, spot)) continue;
         if ((state.refusedUntil.get(kindKey(type.name, zone, spot)) ?? 0) > now.mono) continue;
-        const each = Math.floor(
-          Math.min(
-            type.cpus / Math.max(1e-6, job.spec.cpus),
-            type.memoryGb / Math.max(1e-6, job.spec.memoryGb),
-          ),
-        );
-        kinds.push({ type, zone, spot, price: (spot ? type.spotPrice : type.price) / Math.max(1, each) });
+        kinds.push({ type, zone, spot, price: (spot ? type.spotPrice : type.price) * factor });
       }
     }
   }
   return kinds.sort((a, b) => a.price - b.price);
 }
 
-/** The latest start that a job's aims still allow. */
+/** How long after its submission a job's task may start for its aims to hold, with slack to spare. */
+function allowedWait(state: CoreState, spec: JobSpec): number {
+  const byAim = state.rules.startWithin.get(spec.jobClass) ?? Infinity;
+  const run = expectedRun(state, spec);
+  if (spec.deadlineS === null) return Math.min(byAim, run);
+  return Math.min(byAim, (spec.deadlineS * 1000 - run) * state.rules.policy.deadlineSlack(spec));
+}
+
+/** The latest start, on the steady clock, that a job's aims still allow. */
 function latestStart(state: CoreState, job: JobState, now: Now): number {
   const { spec } = job;
-  const age = now.wall - spec.submittedAt;
-  const aim = state.rules.startWithin.get(spec.jobClass);
-  const byAim = aim === undefined ? Infinity : now.mono - age + aim;
-  if (spec.deadlineS === null) return Math.min(byAim, now.mono + state.rules.policy.expectedRun(spec));
-  const slack = spec.deadlineS * 1000 - state.rules.policy.expectedRun(spec);
-  return Math.min(byAim, now.mono - age + slack * state.rules.policy.deadlineSlack(spec));
+  const times = state.rules.deadlineTimes.get(spec.jobClass) ?? [1];
+  // Late whatever is rented now: no hurry that dear machines would be worth.
+  if (spec.deadlineS !== null && aimsLost(state, job, now) >= times.length) {
+    return now.mono + Math.max(0, spec.deadlineS * 1000 + Math.min(0, timeLeft(spec, 1, now)));
+  }
+  return now.mono - (now.wall - spec.submittedAt) + allowedWait(state, spec);
 }
 
-/** Plans the waiting tasks onto machines up and booting, and rents for those that would start too late. */
-export function rent(state: CoreState, now: Now, effects: Effect[]): void {
-  const lead = state.leadership;
-  if (lead === null || state.types.size === 0 || now.mono < state.rentNotBefore) return;
-  const planned = planMachines(state, now);
-  const wanted = new Map<string, { kind: Kind; count: number }>();
-  for (const job of waitingJobs(state, now)) {
+/** Tasks of each class now, and the most there were of late. */
+function noteDemand(state: CoreState, now: Now): void {
+  const current = new Map<string, number>();
+  for (const job of state.jobs.values()) {
     const { spec } = job;
-    const latest = latestStart(state, job, now);
-    const run = spec.service ? Infinity : state.rules.policy.expectedRun(spec);
-    const kinds = kindsFor(state, job, now);
-    for (let left = Math.min(waitingTasks(job), 2000); left > 0; left -= 1) {
-      let best: Planned | null = null;
-      let start = Infinity;
-      for (const one of planned) {
-        if (!allows(spec, one.type.name, one.zone, one.spot)) continue;
-        const at = earliest(one, spec);
-        if (at !== null && at < start) {
-          best = one;
-          start = at;
-        }
-      }
-      const kind = kinds[0];
-      if (kind !== undefined && start > latest && start > now.mono + kind.type.bootS * 1000) {
-        const key = kindKey(kind.type.name, kind.zone, kind.spot);
-        const asked = wanted.get(key) ?? { kind, count: 0 };
-        asked.count += 1;
-        wanted.set(key, asked);
-        start = now.mono + kind.type.bootS * 1000;
-        best = { ...kind, readyAt: start, free: roomOf(kind.type), ends: [], kind };
-        planned.push(best);
+    if (job.over !== null || spec.form !== 'array') continue;
+    current.set(spec.jobClass, (current.get(spec.jobClass) ?? 0) + spec.tasks - job.doneCount);
+    const known = state.demand.get(spec.jobClass);
+    if (known === undefined || job.stamp > known.stamp) {
+      const peak = known?.peak ?? 0;
+      state.demand.set(spec.jobClass, {
+        stamp: job.stamp,
+        spec,
+        peak,
+        current: 0,
+        at: known?.at ?? now.mono,
+      });
+    }
+  }
+  for (const [name, demand] of state.demand) {
+    const memory = state.rules.policy.headroomMemory;
+    demand.current = current.get(name) ?? 0;
+    demand.peak = Math.max(demand.current, demand.peak * Math.exp((demand.at - now.mono) / memory));
+    demand.at = now.mono;
+  }
+}
+
+interface Plan {
+  readonly state: CoreState;
+  readonly now: Now;
+  readonly machines: Planned[];
+  readonly scarce: ReadonlySet<string>;
+  readonly wanted: Map<string, { kind: Kind; count: number }>;
+}
+
+/** Finds each task its earliest start, on one more machine if it would be too late otherwise. */
+function planTasks(
+  plan: Plan,
+  spec: JobSpec,
+  count: number,
+  latest: number,
+  choosy: boolean,
+  cheap: boolean,
+): void {
+  const { state, now, machines } = plan;
+  const run = spec.form === 'service' ? Infinity : expectedRun(state, spec);
+  const kind = kindsFor(state, spec, plan.scarce, choosy, now).find(({ spot }) => spot || !cheap);
+  for (let left = Math.min(count, MOST_PLANNED); left > 0; left -= 1) {
+    let best: Planned | null = null;
+    let start = Infinity;
+    for (const one of machines) {
+      if (!allows(spec, one.type.name, one.zone, one.spot)) continue;
+      if (choosy && plan.scarce.has(one.type.name)) continue;
+      const at = earliest(one, spec);
+      if (at !== null && at < start) {
+        best = one;
+        start = at;
       }
-      if (best === null) break;
-      occupy(best, spec, start, start + run);
     }
+    if (kind !== undefined && start > latest && start > now.mono + kind.type.bootS * 1000) {
+      const key = kindKey(kind.type.name, kind.zone, kind.spot);
+      const asked = plan.wanted.get(key) ?? { kind, count: 0 };
+      asked.count += 1;
+      plan.wanted.set(key, asked);
+      best = newMachine(kind.type, kind.zone, kind.spot, now);
+      start = best.readyAt;
+      machines.push(best);
+    }
+    if (best === null) break;
+    occupy(best, spec, start, start + run);
+  }
+}
+
+/**
+ * Plans the waiting tasks onto machines up and booting, and rents for those that would
+ * start too late. Classes that cannot wait for a boot get room ahead of their arrival.
+ */
+export function rent(state: CoreState, now: Now, effects: Effect[]): void {
+  const lead = state.leadership;
+  if (lead === null || state.types.size === 0) return;
+  noteDemand(state, now);
+  const queue = waitingJobs(state, now);
+  const scarce = new Set<string>();
+  if (state.types.size > 1) {
+    for (const { spec } of state.demand.values()) {
+      const only = onlyType(state, spec);
+      if (only !== null) scarce.add(only);
+    }
+  }
+  const plan: Plan = { state, now, machines: planMachines(state, now), scarce, wanted: new Map() };
+  for (const job of queue) {
+    const choosy = onlyType(state, job.spec) === null;
+    planTasks(plan, job.spec, waitingTasks(job), latestStart(state, job, now), choosy, false);
+  }
+  for (const { spec, peak, current } of state.demand.values()) {
+    const boot = Math.min(
+      ...[...state.types.values()].map((type) => (fits(spec, type) ? type.bootS : Infinity)),
+    );
+    const wait = allowedWait(state, spec);
+    if (wait > boot * 1000) continue;
+    const ahead = Math.ceil(peak * state.rules.policy.headroom(spec)) - current;
+    planTasks(plan, spec, ahead, now.mono + wait, onlyType(state, spec) === null, true);
   }
-  for (const { kind, count } of wanted.values()) {
+  state.inPlan.clear();
+  for (const { machine, used } of plan.machines) if (machine !== null && used) state.inPlan.add(machine);
+  if (now.mono < state.rentNotBefore) return;
+  for (const { kind, count } of plan.wanted.values()) {
     const rental = {
       request: `t${lead.term}-${state.nextRequest++}`,
       type: kind.type.name,
@@ -213,21 +298,18 @@
 /** Sends back machines that are of no more use. */
 export function giveBack(state: CoreState, now: Now, effects: Effect[]): void {
   const names: string[] = [];
-  const waiting = waitingJobs(state, now);
   for (const machine of state.machines.values()) {
     const type = state.types.get(machine.type);
     if (
       machine.leaving === null &&
       type !== undefined &&
       machine.claims.size === 0 &&
-      machine.heardAt !== null
+      machine.heardAt !== null &&
+      !state.inPlan.has(machine.name)
     ) {
-      const hold = state.rules.policy.idleHold(type);
+      const hold = state.rules.policy.idleHold(type, machine.spot);
       const paid = now.mono - machine.rentedAt >= LEAST_PAID_MS;
-      const needed = waiting.some(
-        (job) => allows(job.spec, machine.type, machine.zone, machine.spot) && fits(job.spec, roomOf(type)),
-      );
-      if (paid && !needed && now.mono - machine.idleSince > hold) machine.leaving = 'idle';
+      if (paid && now.mono - machine.idleSince > hold) machine.leaving = 'idle';
     }
     if (machine.leaving === null) continue;
     const asked = machine.returnAskedAt;
--- a/src/core/easy.ts
+++ b/src/core/easy.ts
@@ -4,90 +4,47 @@
  * extra room. Room is counted per machine and resource.
  */
 import { isUsable } from './fleet.js';
-import { claimTask, nextTask } from './ledger.js';
-import { teamUse, waitingJobs } from './queue.js';
+import { claimTask, nextTask, waitingTasks } from './ledger.js';
+import { expectedRun, teamUse, waitingJobs } from './queue.js';
+import { allows, fetchTime, fits, freeRoom, give, take, type Need, type Room } from './room.js';
 import type { CoreState, Head, JobState, LiveClaim, Machine, Now } from './state.js';
 import type { JobSpec, MachineType } from './types.js';
 
 const EPSILON = 1e-6;
-
-export interface Room {
-  cpus: number;
-  gpus: number;
-  memoryGb: number;
-}
-
-type Need = Readonly<Room>;
-
-export function fits(need: Need, room: Need): boolean {
-  return (
-    need.cpus <= room.cpus + EPSILON &&
-    need.gpus <= room.gpus + EPSILON &&
-    need.memoryGb <= room.memoryGb + EPSILON
-  );
-}
-
-export function take(room: Room, need: Need): void {
-  room.cpus -= need.cpus;
-  room.gpus -= need.gpus;
-  room.memoryGb -= need.memoryGb;
-}
-
-export function give(room: Room, need: Need): void {
-  room.cpus += need.cpus;
-  room.gpus += need.gpus;
-  room.memoryGb += need.memoryGb;
-}
+/** What an ordinary machine costs a choice against a cheap one that fits as well. */
+const ORDINARY_PENALTY = 0.25;
 
 /** A machine as the placing pass sees it. */
-export interface Site {
+interface Site {
   readonly machine: Machine;
   readonly type: MachineType;
   readonly free: Room;
 }
 
-export function roomOf(type: MachineType): Room {
-  return { cpus: type.cpus, gpus: type.gpus, memoryGb: type.memoryGb };
-}
-
-export function freeRoom(machine: Machine, type: MachineType): Room {
-  const free = roomOf(type);
-  for (const claim of machine.claims.values()) take(free, claim.job.spec);
-  return free;
+/** Room kept for a blocked job on one machine: all of it until `shadow`, `extra` from then on. */
+export interface Hold {
+  readonly shadow: number;
+  readonly extra: Room;
 }
 
 /** When a task on a machine is expected to be gone; one past its end, an allowance from now. */
 export function expectedEnd(state: CoreState, claim: LiveClaim, now: Now): number {
   const { spec } = claim.job;
-  if (spec.service) return Infinity;
+  if (spec.form === 'service') return Infinity;
   if (claim.expectedEnd > now.mono) return claim.expectedEnd;
   return now.mono + state.rules.policy.overrunAllowance(spec);
 }
 
-export function fetchTime(machine: Machine, type: MachineType, spec: JobSpec): number {
-  if (machine.images.has(spec.image) || type.fetchGbPerS <= 0) return 0;
-  for (const claim of machine.claims.values()) if (claim.job.spec.image === spec.image) return 0;
-  return (spec.imageGb / type.fetchGbPerS) * 1000;
-}
-
-/** Whether a job's own wishes allow a kind of machine, apart from what its other tasks take. */
-export function allows(spec: JobSpec, type: string, zone: string, spot: boolean): boolean {
-  return (
-    (spec.types === null || spec.types.includes(type)) &&
-    (spec.zone === null || spec.zone === zone) &&
-    (spec.spot || !spot)
-  );
-}
-
 /** Zones open to the next task, given every task of the job that may be on a machine. */
-export function zoneRule(state: CoreState, job: JobState): (zone: string) => boolean {
+function zoneRule(state: CoreState, job: JobState, placed: readonly Site[] = []): (zone: string) => boolean {
   const { spec } = job;
   if (!spec.oneZone && !spec.spread) return () => true;
   const counts = new Map<string, number>();
-  for (const claim of job.claims.values()) {
-    const zone = state.machines.get(claim.machine)?.zone ?? '';
+  const count = (zone: string): void => {
     counts.set(zone, (counts.get(zone) ?? 0) + 1);
-  }
+  };
+  for (const claim of job.claims.values()) count(state.machines.get(claim.machine)?.zone ?? '');
+  for (const site of placed) count(site.machine.zone);
   const most = Math.ceil(spec.tasks / 2);
   return (zone) => {
     if (spec.oneZone && counts.size > 0 && !(counts.size === 1 && counts.has(zone))) return false;
@@ -95,90 +52,190 @@
   };
 }
 
-interface Reservation {
-  readonly job: JobState;
-  readonly site: Site;
-  readonly shadow: number;
-  readonly extra: Room;
+/** How many tasks have to start together: all of a gang's, one of any other job. */
+function together(job: JobState): number {
+  return job.spec.form === 'gang' ? waitingTasks(job) : 1;
 }
 
-/** The first time at which one machine has room for the head's task, and what is left over then. */
-export function shadowOf(
+/**
+ * The shadow time: running tasks are gone through in the order of their expected
+ * ends, collecting the room they free, until enough tasks of the job fit. Null when
+ * that never happens.
+ */
+export function findShadow(
   state: CoreState,
-  site: Site,
+  sites: readonly Site[],
   need: Need,
+  count: number,
   now: Now,
-): { at: number; extra: Room } | null {
-  const free = { ...site.free };
-  if (fits(need, free)) return { at: now.mono, extra: surplus(free, need) };
-  const running = [...site.machine.claims.values()]
-    .map((claim) => ({ claim, end: expectedEnd(state, claim, now) }))
-    .sort((a, b) => a.end - b.end);
-  for (const { claim, end } of running) {
-    if (end === Infinity) return null;
-    give(free, claim.job.spec);
-    if (fits(need, free)) return { at: end, extra: surplus(free, need) };
+): { at: number; holds: Map<Site, Hold> } | null {
+  const room = new Map(sites.map((site) => [site, { ...site.free }]));
+  const fitting = (site: Site): number => {
+    const trial = { ...(room.get(site) ?? site.free) };
+    let found = 0;
+    for (; found < count && fits(need, trial); found += 1) take(trial, need);
+    return found;
+  };
+  const counts = new Map(sites.map((site) => [site, fitting(site)]));
+  let total = 0;
+  for (const found of counts.values()) total += found;
+  const ends = sites
+    .flatMap((site) =>
+      [...site.machine.claims.values()].map((claim) => ({ site, claim, at: expectedEnd(state, claim, now) })),
+    )
+    .sort((a, b) => a.at - b.at);
+  let at = now.mono;
+  for (const end of ends) {
+    if (total >= count || end.at === Infinity) break;
+    at = end.at;
+    const free = room.get(end.site);
+    if (free !== undefined) give(free, end.claim.job.spec);
+    const found = fitting(end.site);
+    total += found - (counts.get(end.site) ?? 0);
+    counts.set(end.site, found);
   }
-  return null;
+  if (total < count) return null;
+  const holds = new Map<Site, Hold>();
+  let left = count;
+  for (const site of [...sites].sort((a, b) => (counts.get(b) ?? 0) - (counts.get(a) ?? 0))) {
+    const taken = Math.min(left, counts.get(site) ?? 0);
+    if (taken === 0) break;
+    const extra = { ...(room.get(site) ?? site.free) };
+    for (let i = 0; i < taken; i += 1) take(extra, need);
+    holds.set(site, { shadow: at, extra });
+    left -= taken;
+  }
+  return { at, holds };
 }
 
-function surplus(free: Room, need: Need): Room {
-  const extra = { ...free };
-  take(extra, need);
-  return extra;
+/** The paper's two tests, on a machine on which room is held. */
+export function mayBackfill(hold: Hold, need: Need, end: number): boolean {
+  return end <= hold.shadow || fits(need, hold.extra);
 }
 
-function reserve(state: CoreState, job: JobState, sites: readonly Site[], now: Now): Reservation | null {
-  const open = zoneRule(state, job);
-  let best: Reservation | null = null;
-  for (const site of sites) {
-    const { type, zone, spot } = site.machine;
-    if (!allows(job.spec, type, zone, spot) || !open(zone)) continue;
-    const found = shadowOf(state, site, job.spec, now);
-    if (found !== null && (best === null || found.at < best.shadow)) {
-      best = { job, site, shadow: found.at, extra: found.extra };
-    }
+/** Types that some waiting job needs for want of any other, with the first such job of each. */
+function scarceTypes(state: CoreState, queue: readonly JobState[]): Map<string, JobState> {
+  const scarce = new Map<string, JobState>();
+  if (state.types.size < 2) return scarce;
+  for (const job of queue) {
+    const only = onlyType(state, job.spec);
+    if (only !== null && !scarce.has(only)) scarce.set(only, job);
   }
-  return best;
+  return scarce;
 }
 
-/** The paper's two tests, on the machine that the head has reserved. */
-export function mayBackfill(
-  held: { readonly shadow: number; readonly extra: Need },
-  need: Need,
-  end: number,
-): boolean {
-  return end <= held.shadow || fits(need, held.extra);
+/** The one type that can take a job's tasks, or null if several can. */
+export function onlyType(state: CoreState, spec: JobSpec): string | null {
+  let only: string | null = null;
+  for (const type of state.types.values()) {
+    const able = fits(spec, type) && (spec.types?.includes(type.name) ?? true);
+    if (!able) continue;
+    if (only !== null) return null;
+    only = type.name;
+  }
+  return only;
 }
 
-function choose(
-  state: CoreState,
-  job: JobState,
-  sites: readonly Site[],
-  held: Reservation | null,
-  largest: number,
-  now: Now,
-): { site: Site; end: number } | null {
+interface Pass {
+  readonly state: CoreState;
+  readonly now: Now;
+  readonly sites: readonly Site[];
+  readonly largest: number;
+  /** Room held for the head of the queue. */
+  head: Map<Site, Hold>;
+  /** Room held for jobs that only one type can take, against jobs with a choice. */
+  readonly scarce: Map<Site, Hold>;
+}
+
+function choose(pass: Pass, job: JobState, placed: readonly Site[]): { site: Site; end: number } | null {
+  const { state, now } = pass;
   const { spec } = job;
-  const open = zoneRule(state, job);
+  const open = zoneRule(state, job, placed);
+  const run = expectedRun(state, spec);
+  const choosy = pass.scarce.size > 0 && onlyType(state, spec) === null;
   let best: { site: Site; end: number; score: number } | null = null;
-  for (const site of sites) {
+  for (const site of pass.sites) {
     const { machine, type, free } = site;
-    if (!fits(spec, free) || !allows(spec, machine.type, machine.zone, machine.spot) || !open(machine.zone))
+    if (!fits(spec, free) || !allows(spec, machine.type, machine.zone, machine.spot) || !open(machine.zone)) {
       continue;
+    }
     if (job.failedOn.has(machine.name) && job.failedOn.size < 3) continue;
     const fetch = fetchTime(machine, type, spec);
-    const run = state.rules.policy.expectedRun(spec);
-    const end = spec.service ? Infinity : now.mono + fetch + run;
-    if (held !== null && held.site === site && !mayBackfill(held, spec, end)) continue;
+    const end = spec.form === 'service' ? Infinity : now.mono + fetch + run;
+    const hold = pass.head.get(site);
+    if (hold !== undefined && !mayBackfill(hold, spec, end)) continue;
+    const kept = choosy ? pass.scarce.get(site) : undefined;
+    if (kept !== undefined && !mayBackfill(kept, spec, end)) continue;
     // Tight fits first, so that large rooms stay whole; a fetch costs its share of the run.
-    const left = (free.cpus - spec.cpus) / Math.max(EPSILON, largest);
-    const score = left + fetch / (fetch + run + 1);
+    const left = (free.cpus - spec.cpus) / Math.max(EPSILON, pass.largest);
+    const score = left + fetch / (fetch + run + 1) + (machine.spot ? 0 : ORDINARY_PENALTY);
     if (best === null || score < best.score) best = { site, end, score };
   }
   return best;
 }
 
+function occupy(pass: Pass, job: JobState, site: Site, end: number): void {
+  take(site.free, job.spec);
+  for (const hold of [pass.head.get(site), pass.scarce.get(site)]) {
+    if (hold !== undefined && end > hold.shadow) take(hold.extra, job.spec);
+  }
+}
+
+/** Places what must start together: all of it, or nothing. */
+function placeTogether(pass: Pass, job: JobState, count: number): { site: Site; end: number }[] | null {
+  const placed: { site: Site; end: number }[] = [];
+  while (placed.length < count) {
+    const found = choose(
+      pass,
+      job,
+      placed.map(({ site }) => site),
+    );
+    if (found === null) {
+      for (const { site, end } of placed) {
+        give(site.free, job.spec);
+        for (const hold of [pass.head.get(site), pass.scarce.get(site)]) {
+          if (hold !== undefined && end > hold.shadow) give(hold.extra, job.spec);
+        }
+      }
+      return null;
+    }
+    occupy(pass, job, found.site, found.end);
+    placed.push(found);
+  }
+  return placed;
+}
+
+function reserveFor(pass: Pass, job: JobState, sites: readonly Site[]): ReturnType<typeof findShadow> {
+  const { state, now } = pass;
+  const open = zoneRule(state, job);
+  const able = sites.filter(
+    ({ machine }) => allows(job.spec, machine.type, machine.zone, machine.spot) && open(machine.zone),
+  );
+  if (!job.spec.oneZone) return findShadow(state, able, job.spec, together(job), now);
+  let best: ReturnType<typeof findShadow> = null;
+  for (const zone of new Set(able.map(({ machine }) => machine.zone))) {
+    const within = able.filter(({ machine }) => machine.zone === zone);
+    const found = findShadow(state, within, job.spec, together(job), now);
+    if (found !== null && (best === null || found.at < best.at)) best = found;
+  }
+  return best;
+}
+
+function withinLimits(
+  state: CoreState,
+  job: JobState,
+  count: number,
+  used: { cpus: number; gpus: number },
+): boolean {
+  const limits = state.rules.teams.get(job.spec.team);
+  if (limits === undefined) return true;
+  const { cpus, gpus } = job.spec;
+  return (
+    (limits.cpusMax <= 0 || used.cpus + count * cpus <= limits.cpusMax + EPSILON) &&
+    (limits.gpusMax <= 0 || used.gpus + count * gpus <= limits.gpusMax + EPSILON)
+  );
+}
+
 /** One pass over the queue: starts what may start, and says what the head waits for. */
 export function place(state: CoreState, now: Now): void {
   const sites: Site[] = [];
@@ -189,39 +246,47 @@
     largest = Math.max(largest, type.cpus);
     sites.push({ machine, type, free: freeRoom(machine, type) });
   }
+  const queue = waitingJobs(state, now);
+  const pass: Pass = { state, now, sites, largest, head: new Map(), scarce: new Map() };
+  for (const [type, job] of scarceTypes(state, queue)) {
+    for (const site of sites) {
+      if (site.machine.type !== type) continue;
+      const hold = findShadow(state, [site], job.spec, 1, now)?.holds.get(site);
+      if (hold !== undefined) pass.scarce.set(site, hold);
+    }
+  }
   const use = teamUse(state);
-  let held: Reservation | null = null;
   let head: Head | null = null;
-  for (const job of waitingJobs(state, now)) {
+  for (const job of queue) {
     const { spec } = job;
-    const limits = state.rules.teams.get(spec.team);
-    for (;;) {
-      const task = nextTask(job);
-      if (task === null) break;
-      const used = use.get(spec.team) ?? { cpus: 0, gpus: 0 };
-      const over =
-        limits !== undefined &&
-        ((limits.cpusMax > 0 && used.cpus + spec.cpus > limits.cpusMax + EPSILON) ||
-          (limits.gpusMax > 0 && used.gpus + spec.gpus > limits.gpusMax + EPSILON));
-      if (over) break; // a job of a team at its limit is skipped
-      const found = choose(state, job, sites, held, largest, now);
-      if (found === null) {
+    // What of a gang is left behind by some of its tasks waits until all have ended.
+    if (spec.form === 'gang' && job.claims.size > 0) continue;
+    const used = use.get(spec.team) ?? { cpus: 0, gpus: 0 };
+    use.set(spec.team, used);
+    while (waitingTasks(job) > 0) {
+      const count = together(job);
+      if (!withinLimits(state, job, count, used)) break; // a job of a team at its limit is skipped
+      const placed = placeTogether(pass, job, count);
+      if (placed === null) {
         if (head === null) {
-          held = reserve(state, job, sites, now);
+          const shadow = reserveFor(pass, job, sites);
+          pass.head = shadow?.holds ?? new Map<Site, Hold>();
           head = {
             job: spec.id,
-            machine: held?.site.machine.name ?? null,
-            shadow: held?.shadow ?? null,
-            reason: held === null ? 'no machine could ever take it yet' : 'waits for running tasks to end',
+            machines: [...pass.head.keys()].map(({ machine }) => machine.name),
+            shadow: shadow?.at ?? null,
+            reason: shadow === null ? 'no machine here could ever take it' : 'waits for running tasks to end',
           };
         }
         break;
       }
-      const { site, end } = found;
-      if (held !== null && held.site === site && end > held.shadow) take(held.extra, spec);
-      take(site.free, spec);
-      claimTask(state, job, task, site.machine, now, end);
-      use.set(spec.team, { cpus: used.cpus + spec.cpus, gpus: used.gpus + spec.gpus });
+      for (const { site, end } of placed) {
+        const task = nextTask(job);
+        if (task === null) break;
+        claimTask(state, job, task, site.machine, now, end);
+        used.cpus += spec.cpus;
+        used.gpus += spec.gpus;
+      }
     }
   }
   state.head = head;
--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -1,6 +1,7 @@
 /** Machines: what their reports prove, what they are told, and when they are given up. */
 import type { Effect } from './effects.js';
 import { isDurable, recordStrayDone, releaseClaim } from './ledger.js';
+import { expectedRun } from './queue.js';
 import {
   isDone,
   isExitKept,
@@ -137,7 +138,7 @@
     claim.stage = task.stage;
     if (task.stage === 'running' && claim.runningSince === null) {
       claim.runningSince = now.mono;
-      claim.expectedEnd = now.mono + state.rules.policy.expectedRun(spec);
+      claim.expectedEnd = now.mono + expectedRun(state, spec);
       useImage(state, machine, spec.image, spec.imageGb);
     }
   }
--- a/src/core/ledger.ts
+++ b/src/core/ledger.ts
@@ -179,7 +179,7 @@
     id,
     jobClass: '',
     team,
-    service: false,
+    form: 'array',
     priority: 3,
     tasks: (chunk + 1) * chunkTasks,
     cpus,
@@ -253,7 +253,7 @@
 }
 
 const isComplete = (job: JobState): boolean =>
-  job.over === null && !job.spec.service && job.doneCount === job.spec.tasks;
+  job.over === null && job.spec.form !== 'service' && job.doneCount === job.spec.tasks;
 
 /**
  * The next transaction, if one is due. Only one is ever under way, and each chunk is
--- a/src/core/queue.ts
+++ b/src/core/queue.ts
@@ -1,18 +1,50 @@
 /** The queue: jobs with waiting tasks, in the order in which they are served. */
 import { waitingTasks } from './ledger.js';
 import type { CoreState, JobState, Now } from './state.js';
+import type { JobSpec } from './types.js';
 
-/** Higher priority first, then order of arrival, which is the order of the stamps. */
-export function queueOrder(a: JobState, b: JobState): number {
-  return a.spec.priority - b.spec.priority || a.stamp - b.stamp;
+/** An estimate off by this share still is an ordinary one. */
+const ESTIMATE_DOUBT = 0.3;
+
+/** Expected run time of a task: its owner's estimate, corrected by what its class has shown. */
+export function expectedRun(state: CoreState, spec: JobSpec): number {
+  return state.rules.policy.expectedRun(spec) * (state.runRatio.get(spec.jobClass) ?? 1);
+}
+
+/** Milliseconds from now until the deadline, `times` its length after the submission. */
+export function timeLeft(spec: JobSpec, times: number, now: Now): number {
+  if (spec.deadlineS === null) return Infinity;
+  return spec.submittedAt + spec.deadlineS * 1000 * times - now.wall;
+}
+
+/** How many of its deadline aims a job can no longer meet. */
+export function aimsLost(state: CoreState, job: JobState, now: Now): number {
+  const { spec } = job;
+  if (spec.deadlineS === null) return 0;
+  const needs = expectedRun(state, spec) * (1 - ESTIMATE_DOUBT);
+  let lost = 0;
+  for (const times of state.rules.deadlineTimes.get(spec.jobClass) ?? [1]) {
+    if (timeLeft(spec, times, now) < needs) lost += 1;
+  }
+  return lost;
 }
 
+/**
+ * Jobs with waiting tasks that may be tried now: higher priority first, then order of
+ * arrival (the order of the stamps). Under overload, arrival order alone would make
+ * every job late by the same delay; so a job whose deadline can no longer be met
+ * stands behind those of its priority that can still meet theirs.
+ */
 export function waitingJobs(state: CoreState, now: Now): JobState[] {
-  const waiting: JobState[] = [];
+  const waiting: { job: JobState; lost: number }[] = [];
   for (const job of state.jobs.values()) {
-    if (waitingTasks(job) > 0 && job.retryAt <= now.mono) waiting.push(job);
+    if (waitingTasks(job) > 0 && job.retryAt <= now.mono)
+      waiting.push({ job, lost: aimsLost(state, job, now) });
   }
-  return waiting.sort(queueOrder);
+  waiting.sort(
+    (a, b) => a.job.spec.priority - b.job.spec.priority || a.lost - b.lost || a.job.stamp - b.job.stamp,
+  );
+  return waiting.map(({ job }) => job);
 }
 
 /** What every team's tasks use that are not proven gone, by team. */
--- /dev/null
+++ b/src/core/room.ts
@@ -0,0 +1,57 @@
+/** Room on machines, counted per resource, and which machines a job allows. */
+import type { Machine } from './state.js';
+import type { JobSpec, MachineType } from './types.js';
+
+const EPSILON = 1e-6;
+
+export interface Room {
+  cpus: number;
+  gpus: number;
+  memoryGb: number;
+}
+
+export type Need = Readonly<Room>;
+
+export function fits(need: Need, room: Need): boolean {
+  return (
+    need.cpus <= room.cpus + EPSILON &&
+    need.gpus <= room.gpus + EPSILON &&
+    need.memoryGb <= room.memoryGb + EPSILON
+  );
+}
+
+export function take(room: Room, need: Need): void {
+  room.cpus -= need.cpus;
+  room.gpus -= need.gpus;
+  room.memoryGb -= need.memoryGb;
+}
+
+export function give(room: Room, need: Need): void {
+  room.cpus += need.cpus;
+  room.gpus += need.gpus;
+  room.memoryGb += need.memoryGb;
+}
+
+/** A copy of just the amounts, whatever else the object holds. */
+export const roomOf = ({ cpus, gpus, memoryGb }: Need): Room => ({ cpus, gpus, memoryGb });
+
+export function freeRoom(machine: Machine, type: MachineType): Room {
+  const free = roomOf(type);
+  for (const claim of machine.claims.values()) take(free, claim.job.spec);
+  return free;
+}
+
+export function fetchTime(machine: Machine, type: MachineType, spec: JobSpec): number {
+  if (machine.images.has(spec.image) || type.fetchGbPerS <= 0) return 0;
+  for (const claim of machine.claims.values()) if (claim.job.spec.image === spec.image) return 0;
+  return (spec.imageGb / type.fetchGbPerS) * 1000;
+}
+
+/** Whether a job's own wishes allow a kind of machine, apart from what its other tasks take. */
+export function allows(spec: JobSpec, type: string, zone: string, spot: boolean): boolean {
+  return (
+    (spec.types === null || spec.types.includes(type)) &&
+    (spec.zone === null || spec.zone === zone) &&
+    (spec.spot || !spot)
+  );
+}
--- a/src/core/state.ts
+++ b/src/core/state.ts
@@ -28,6 +28,8 @@
   readonly teams: ReadonlyMap<string, TeamLimits>;
   /** Start aims by class, in milliseconds. */
   readonly startWithin: ReadonlyMap<string, number>;
+  /** Multiples of the deadline that aims speak of, by class. */
+  readonly deadlineTimes: ReadonlyMap<string, readonly number[]>;
   readonly chunkTasks: number;
   readonly txnOps: number;
   readonly listLag: number;
@@ -43,9 +45,13 @@
   /** Wait of a new leader before it places, in milliseconds. */
   readonly placingWait: number;
   /** How long an idle machine of this type is kept, in milliseconds. */
-  readonly idleHold: (type: MachineType) => number;
+  readonly idleHold: (type: MachineType, spot: boolean) => number;
   /** Share of a job's deadline slack that it may spend waiting for room. */
   readonly deadlineSlack: (job: JobSpec) => number;
+  /** Room kept ready for a class that cannot wait for a boot, over the most it used of late. */
+  readonly headroom: (job: JobSpec) => number;
+  /** Time in which the memory of that most fades to a third, in milliseconds. */
+  readonly headroomMemory: number;
 }
 
 /** A task put on a machine and not yet proven gone from it. */
@@ -154,7 +160,7 @@
 
 export interface Head {
   readonly job: string;
-  readonly machine: string | null;
+  readonly machines: readonly string[];
   readonly shadow: number | null;
   readonly reason: string;
 }
@@ -182,6 +188,19 @@
   head: Head | null;
   /** Run time over estimate, by class, as completed tasks show it. */
   readonly runRatio: Map<string, number>;
+  readonly demand: Map<string, Demand>;
+  /** Machines that the latest plan has a use for. */
+  readonly inPlan: Set<string>;
+}
+
+/** Tasks of a class that are not done: now, and the most of late. */
+export interface Demand {
+  readonly stamp: number;
+  /** Its latest job, as a pattern for those to come. */
+  readonly spec: JobSpec;
+  peak: number;
+  current: number;
+  at: number;
 }
 
 export interface CommitInFlight {
@@ -213,6 +232,8 @@
     planAt: 0,
     head: null,
     runRatio: new Map(),
+    demand: new Map(),
+    inPlan: new Set(),
   };
 }
 
@@ -228,6 +249,8 @@
   state.recheck = null;
   state.commitNotBefore = 0;
   state.head = null;
+  state.demand.clear();
+  state.inPlan.clear();
 }
 
 export function isDone(job: JobState, task: number): boolean {
--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -2,11 +2,14 @@
 
 export type Priority = 0 | 1 | 2 | 3; // production, high, normal, low
 
+/** Tasks one by one; all at once or none; replicas until the job is cancelled. */
+export type JobForm = 'array' | 'gang' | 'service';
+
 export interface JobSpec {
   readonly id: string;
   readonly jobClass: string;
   readonly team: string;
-  readonly service: boolean;
+  readonly form: JobForm;
   readonly priority: Priority;
   readonly tasks: number;
   readonly cpus: number;
--- a/src/node.ts
+++ b/src/node.ts
@@ -38,9 +38,12 @@
 export function rulesFor(settings: PlatformSettings): Rules {
   const { cluster } = settings;
   const startWithin = new Map<string, number>();
+  const deadlineTimes = new Map<string, number[]>();
   for (const aim of cluster.objectives) {
     if (aim.kind === 'wait' && aim.class !== undefined && aim.within_s !== undefined) {
       startWithin.set(aim.class, aim.within_s * 1000);
+    } else if (aim.kind === 'deadline' && aim.class !== undefined) {
+      deadlineTimes.set(aim.class, [...(deadlineTimes.get(aim.class) ?? []), aim.times ?? 1]);
     }
   }
   return {
@@ -52,6 +55,7 @@
       ]),
     ),
     startWithin,
+    deadlineTimes,
     chunkTasks: 8 * Math.max(1, Math.floor((cluster.state.value_kb * 1024) / BYTES_PER_TASK / 8)),
     txnOps: cluster.state.txn_ops,
     listLag: cluster.cloud.list_lag_s * 1000,
--- a/src/policy.ts
+++ b/src/policy.ts
@@ -8,7 +8,9 @@
     expectedRun: (job) => job.estimateS * 1000,
     overrunAllowance: () => workerLease,
     placingWait: longestReport,
-    idleHold: (type) => type.bootS * 1000,
+    idleHold: (type, spot) => type.bootS * (spot ? 1000 : 300),
     deadlineSlack: () => 0.5,
+    headroom: () => 1,
+    headroomMemory: 20 * workerLease,
   };
 }
--- a/src/wire/users.ts
+++ b/src/wire/users.ts
@@ -1,5 +1,5 @@
 /** The users' interface: job descriptions in, answers out. */
-import type { FinalStage, JobSpec, Priority } from '../core/types.js';
+import type { FinalStage, JobForm, JobSpec, Priority } from '../core/types.js';
 import { asObject, isAmount, isCount, isFlag, isText } from './json.js';
 
 export const JOB_ID = /^req-\d{1,18}$/;
@@ -12,6 +12,12 @@
   ['best_effort', 3],
 ]);
 
+const FORMS = new Map<unknown, JobForm>([
+  ['array', 'array'],
+  ['ensemble', 'gang'],
+  ['service', 'service'],
+]);
+
 export type Parsed<T> =
   { readonly ok: true; readonly value: T } | { readonly ok: false; readonly reason: string };
 
@@ -33,8 +39,8 @@
     if (!JOB_ID.test(id)) throw new Invalid('nameId must be of the form req-000000');
     const jobClass = need('repertoire', isText, 'a text');
     const team = need('crew', isText, 'a text');
-    const form = need('form', isText, 'array or service');
-    if (form !== 'array' && form !== 'service') throw new Invalid('form must be array or service');
+    const form = FORMS.get(raw['form']);
+    if (form === undefined) throw new Invalid('form must be array, ensemble or service');
     const priority = PRIORITIES.get(raw['urgency']);
     if (priority === undefined) throw new Invalid('urgency must be prod, high, normal or best_effort');
     const tasks = need('movements', isCount, 'a whole number');
@@ -53,7 +59,7 @@
         id,
         jobClass,
         team,
-        service: form === 'service',
+        form,
         priority,
         tasks,
         cpus: amount('cores'),
