--- a/src/adapters/peers.ts
+++ b/src/adapters/peers.ts
@@ -5,13 +5,7 @@
 import { parseAddress, type PlatformSettings, type Timing } from '../settings.js';
 import { encodeStatus, StatusReader, type PeerStatus } from '../wire/peers.js';
 
-export interface HeardStatus {
-  readonly status: PeerStatus;
-  readonly at: number;
-}
-
 export class Peers {
-  readonly heard = new Map<string, HeardStatus>();
   readonly #server: Server;
   readonly #accepted = new Set<Socket>();
   readonly #names: ReadonlySet<string>;
@@ -57,9 +51,7 @@
   }
 
   #take(status: PeerStatus): void {
-    if (!this.#names.has(status.node)) return;
-    this.heard.set(status.node, { status, at: this.clock.mono() });
-    this.onStatus(status);
+    if (this.#names.has(status.node)) this.onStatus(status);
   }
 
   async #dial(address: string): Promise<void> {
--- a/src/adapters/server.ts
+++ b/src/adapters/server.ts
@@ -6,9 +6,13 @@
 
 const MOST_BODY = 64 * 1024;
 
-export interface ReportPort {
+/** What the port serves; a controller node is one. */
+export interface Served {
+  readonly users: Pick<Users, 'submit' | 'show' | 'withdraw'>;
   /** Takes a report's body; `done` is called once with the answer. */
   report(body: unknown, done: (status: number, body: string) => void): void;
+  ready(): boolean;
+  describe(): object;
 }
 
 function sendJson(response: ServerResponse, status: number, body: string): void {
@@ -21,7 +25,7 @@
   response.writeHead(status, headers).end(body);
 }
 
-function takeReport(port: ReportPort, request: IncomingMessage, response: ServerResponse): void {
+function takeReport(served: Served, request: IncomingMessage, response: ServerResponse): void {
   const parts: Buffer[] = [];
   let bytes = 0;
   request.on('data', (part: Buffer) => {
@@ -30,7 +34,7 @@
   });
   request.on('end', () => {
     const body = bytes <= MOST_BODY ? parseJson(Buffer.concat(parts).toString('utf8')) : undefined;
-    port.report(body, (status, text) => sendJson(response, status, text));
+    served.report(body, (status, text) => sendJson(response, status, text));
   });
   request.on('error', () => response.destroy());
 }
@@ -52,20 +56,15 @@
   );
 };
 
-export function createPublicServer(
-  users: Users,
-  reports: ReportPort,
-  ready: () => boolean,
-  status: () => object,
-  sockets: number,
-): Server {
+export function createPublicServer(served: Served, sockets: number): Server {
+  const { users } = served;
   const app = express();
   app.disable('x-powered-by');
   app.disable('etag');
   const body = express.json({ limit: MOST_BODY, strict: false, type: () => true });
   app
     .route('/ready')
-    .get((_request, response) => sendJson(response, ready() ? 200 : 503, '{}'))
+    .get((_request, response) => sendJson(response, served.ready() ? 200 : 503, '{}'))
     .all(notAllowed);
   app
     .route('/v2/runs')
@@ -81,14 +80,14 @@
     .all(notAllowed);
   app
     .route('/status')
-    .get((_request, response) => sendJson(response, 200, JSON.stringify(status(), null, 1)))
+    .get((_request, response) => sendJson(response, 200, JSON.stringify(served.describe(), null, 1)))
     .all(notAllowed);
   app.all('/v1/report', notAllowed);
   app.use((_request, response) => sendJson(response, 404, '{"error":"no such path"}'));
   app.use(onError);
 
   const server = createServer({ keepAlive: true, noDelay: true }, (request, response) => {
-    if (request.method === 'POST' && request.url === '/v1/report') takeReport(reports, request, response);
+    if (request.method === 'POST' && request.url === '/v1/report') takeReport(served, request, response);
     else app(request, response);
   });
   server.keepAliveTimeout = 120_000;
--- a/src/cli.ts
+++ b/src/cli.ts
@@ -1,7 +1,7 @@
 /** The command line. */
 import { Command, CommanderError } from 'commander';
 import { createLog } from './logging.js';
-import { ControllerNode } from './node.js';
+import { startService } from './service.js';
 import { parseSettings, readDocument, SettingsError } from './settings.js';
 
 declare const ROWANFERRY_VERSION: string;
@@ -15,7 +15,7 @@
     log.error({ error: error.message, stack: error.stack }, 'uncaught'),
   );
   process.on('unhandledRejection', (reason) => log.error({ reason: String(reason) }, 'unhandled'));
-  new ControllerNode(settings, log).start();
+  startService(settings, log);
 }
 
 /** Runs the command line; the result is the exit code, or null while the service goes on. */
--- a/src/clock.ts
+++ b/src/clock.ts
@@ -5,6 +5,8 @@
   /** Time of day, in milliseconds. */
   wall(): number;
   sleep(ms: number): Promise<void>;
+  /** Calls back once what is ready now has been dealt with. */
+  soon(call: () => void): void;
 }
 
 export const systemClock: Clock = {
@@ -14,4 +16,7 @@
     new Promise((resolve) => {
       setTimeout(resolve, ms);
     }),
+  soon: (call) => {
+    setImmediate(call);
+  },
 };
--- a/src/index.ts
+++ b/src/index.ts
@@ -1,5 +1,6 @@
 /** rowanferry as a library. */
-export { ControllerNode } from './node.js';
+export { ControllerNode, type Ports } from './node.js';
+export { startService } from './service.js';
 export { parseSettings, settingsFaults, SettingsError, type PlatformSettings } from './settings.js';
 export { step } from './core/step.js';
 export { createState } from './core/state.js';
--- a/src/node.ts
+++ b/src/node.ts
@@ -1,13 +1,9 @@
 /** One controller: the owner and everything around it. */
-import { randomUUID } from 'node:crypto';
-import type { Server } from 'node:http';
-import { HttpCloud, type Cloud } from './adapters/cloud.js';
-import { Peers } from './adapters/peers.js';
-import { createPublicServer } from './adapters/server.js';
-import { HttpStateService, type StateService } from './adapters/state.js';
+import type { Cloud } from './adapters/cloud.js';
+import type { StateService } from './adapters/state.js';
 import { Users } from './adapters/users.js';
-import { HttpWorkers, type Workers } from './adapters/workers.js';
-import { systemClock, type Clock } from './clock.js';
+import type { Workers } from './adapters/workers.js';
+import type { Clock } from './clock.js';
 import type { Effect, LoadedChunk, Recheck } from './core/effects.js';
 import { createState, type Rules } from './core/state.js';
 import type { EndedRecord, JobSpec, Stamped } from './core/types.js';
@@ -15,7 +11,7 @@
 import type { Log } from './logging.js';
 import { Owner } from './owner.js';
 import { defaultPolicy } from './policy.js';
-import { parseAddress, timing, type PlatformSettings, type Timing } from './settings.js';
+import { timing, type PlatformSettings, type Timing } from './settings.js';
 import type { JobCount, PeerStatus } from './wire/peers.js';
 import {
   decodeChunk,
@@ -72,18 +68,34 @@
   return jobs;
 }
 
+/** What a controller needs of the world around it. */
+export interface Ports {
+  readonly state: StateService;
+  readonly cloud: Cloud;
+  readonly workers: Workers;
+  readonly clock: Clock;
+  readonly log: Log;
+  /** Names this life of the node, and no other. */
+  readonly incarnation: string;
+}
+
+interface HeardStatus {
+  readonly status: PeerStatus;
+  readonly at: number;
+}
+
 export class ControllerNode {
-  readonly #incarnation = randomUUID();
+  readonly users: Users;
   readonly #timing: Timing;
   readonly #state: StateService;
   readonly #cloud: Cloud;
-  readonly #workers: Workers;
-  readonly #peers: Peers;
+  readonly #clock: Clock;
+  readonly #log: Log;
   readonly #election: Election;
   readonly #owner: Owner;
-  readonly #server: Server;
   readonly #replies = new Map<number, (status: number, body: string) => void>();
   readonly #counts = new Map<string, JobCount>();
+  readonly #heard = new Map<string, HeardStatus>();
   #nextReply = 1;
   #leader: string | null = null;
   #highestTerm = 0;
@@ -92,26 +104,19 @@
 
   constructor(
     private readonly settings: PlatformSettings,
-    private readonly log: Log,
-    private readonly clock: Clock = systemClock,
+    private readonly ports: Ports,
   ) {
+    const { state, clock, log, incarnation } = ports;
     this.#timing = timing(settings);
-    this.#state = new HttpStateService(settings, clock);
-    this.#cloud = new HttpCloud(settings, clock);
-    this.#workers = new HttpWorkers(this.#timing.longestReport * 2);
+    this.#state = state;
+    this.#cloud = ports.cloud;
+    this.#clock = clock;
+    this.#log = log;
     const rules = rulesFor(settings);
     this.#owner = new Owner(createState(settings.host_name, rules), clock, log, (effect) =>
       this.#carryOut(effect),
     );
-    this.#peers = new Peers(
-      settings,
-      this.#timing,
-      clock,
-      log,
-      () => this.#status(),
-      (status) => this.#onPeer(status),
-    );
-    this.#election = new Election(settings.host_name, this.#incarnation, this.#state, clock, this.#timing, {
+    this.#election = new Election(settings.host_name, incarnation, state, clock, this.#timing, {
       elected: (won) => void this.#lead(won),
       lost: () => {
         this.#leadingTerm = 0;
@@ -122,33 +127,29 @@
         this.#highestTerm = Math.max(this.#highestTerm, leader?.term ?? 0);
       },
     });
-    const users = new Users({
-      state: this.#state,
+    this.users = new Users({
+      state,
       clock,
       teams: rules.teams,
       patience: this.#timing.stateTimeout,
       types: () => this.#owner.state.types,
       counts: (id) => this.#countOf(id),
     });
-    this.#server = createPublicServer(
-      users,
-      { report: (body, done) => this.#onReport(body, done) },
-      () => this.#ready(),
-      () => this.#describe(),
-      settings.cluster.quota.sockets,
-    );
   }
 
   start(): void {
-    const { host, port } = parseAddress(this.settings.public_addr);
-    this.#server.on('error', (error) => this.log.error({ error: error.message }, 'public port'));
-    this.#server.listen(port, host);
-    this.#peers.start();
     void this.#election.run();
     void this.#keepCatalog();
     void this.#keepList();
-    setInterval(() => this.#owner.push({ kind: 'tick' }), this.#timing.tick);
-    this.log.info({ node: this.settings.host_name, incarnation: this.#incarnation }, 'started');
+    void this.#keepTicking();
+    this.#log.info({ node: this.settings.host_name, incarnation: this.ports.incarnation }, 'started');
+  }
+
+  async #keepTicking(): Promise<void> {
+    for (;;) {
+      await this.#clock.sleep(this.#timing.tick);
+      this.#owner.push({ kind: 'tick' });
+    }
   }
 
   #countOf(id: string): { done: number; running: number } | null {
@@ -159,7 +160,7 @@
     return { done: job.doneCount, running };
   }
 
-  #status(): PeerStatus {
+  status(): PeerStatus {
     const { state } = this.#owner;
     const contact = this.#state.contactAt();
     const counts: JobCount[] = [];
@@ -171,15 +172,16 @@
     }
     return {
       node: this.settings.host_name,
-      incarnation: this.#incarnation,
+      incarnation: this.ports.incarnation,
       term: state.leadership?.term ?? this.#highestTerm,
       leading: state.leadership !== null,
-      stateAgeMs: contact === null ? 0xffffffff : Math.max(0, Math.round(this.clock.mono() - contact)),
+      stateAgeMs: contact === null ? 0xffffffff : Math.max(0, Math.round(this.#clock.mono() - contact)),
       counts,
     };
   }
 
-  #onPeer(status: PeerStatus): void {
+  onPeer(status: PeerStatus): void {
+    this.#heard.set(status.node, { status, at: this.#clock.mono() });
     if (status.term > this.#highestTerm) {
       this.#highestTerm = status.term;
       this.#owner.push({ kind: 'tokenSeen', token: status.term });
@@ -194,32 +196,32 @@
    * A node that the state service alone refuses sends users elsewhere. When nobody is
    * served, staying is better: each removal by the load balancer costs a growing pause.
    */
-  #ready(): boolean {
+  ready(): boolean {
     const { state } = this.#owner;
     if (state.types.size === 0) return false;
     const stale = 2 * this.#timing.stateTimeout;
-    if (this.#status().stateAgeMs < stale) return true;
-    const now = this.clock.mono();
-    for (const { status, at } of this.#peers.heard.values()) {
+    if (this.status().stateAgeMs < stale) return true;
+    const now = this.#clock.mono();
+    for (const { status, at } of this.#heard.values()) {
       if (now - at < stale / 2 && status.stateAgeMs < stale / 2) return false;
     }
     return true;
   }
 
-  #describe(): object {
+  describe(): object {
     const { state } = this.#owner;
     return {
       node: this.settings.host_name,
       leader: state.leadership === null ? this.#leader : this.settings.host_name,
       term: state.leadership?.term ?? this.#highestTerm,
-      stateAgeMs: this.#status().stateAgeMs,
+      stateAgeMs: this.status().stateAgeMs,
       jobs: state.jobs.size,
       machines: state.machines.size,
       head: state.head,
     };
   }
 
-  #onReport(body: unknown, done: (status: number, body: string) => void): void {
+  report(body: unknown, done: (status: number, body: string) => void): void {
     const report = parseReport(body);
     if (report === null) {
       done(400, '{"error":"malformed report"}');
@@ -257,7 +259,7 @@
         void this.#recheck(effect.jobs, effect.chunks);
         break;
       case 'direct':
-        void this.#workers
+        void this.ports.workers
           .direct(effect.address, effect.token, effect.session, effect.commands)
           .then((report) => {
             if (report !== null) this.#owner.push({ kind: 'direct', report });
@@ -274,13 +276,13 @@
         });
         break;
       case 'steppedDown':
-        this.log.info({ reason: effect.reason }, 'stepped down');
+        this.#log.info({ reason: effect.reason }, 'stepped down');
         this.#leader = null;
         this.#leadingTerm = 0;
         this.#election.abandon();
         break;
       case 'log':
-        this.log[effect.level](effect.detail, effect.event);
+        this.#log[effect.level](effect.detail, effect.event);
         break;
     }
   }
@@ -306,7 +308,7 @@
       else if (read.entry !== null) chunks.set(key, read.entry.stamp);
       if (!whole) break;
     }
-    if (!whole) await this.clock.sleep(this.#timing.tick);
+    if (!whole) await this.#clock.sleep(this.#timing.tick);
     this.#owner.push({ kind: 'rechecked', found: whole ? ({ jobs, chunks } satisfies Recheck) : null });
   }
 
@@ -315,13 +317,13 @@
     this.#highestTerm = Math.max(this.#highestTerm, won.term);
     this.#leader = this.settings.host_name;
     this.#leadingTerm = won.term;
-    this.log.info({ term: won.term }, 'elected');
+    this.#log.info({ term: won.term }, 'elected');
     for (;;) {
-      const sentAt = this.clock.mono();
+      const sentAt = this.#clock.mono();
       const [jobs, runs] = await Promise.all([this.#state.list(JOB_PREFIX), this.#state.list(RUN_PREFIX)]);
       if (this.#leadingTerm !== won.term || this.#highestTerm > won.term) return;
       if (jobs === 'unknown' || runs === 'unknown') {
-        await this.clock.sleep(this.#timing.tick);
+        await this.#clock.sleep(this.#timing.tick);
         continue;
       }
       const chunks: LoadedChunk[] = [];
@@ -348,10 +350,10 @@
   async #follow(term: number, revision: number): Promise<void> {
     let after = revision;
     while (this.#leadingTerm === term) {
-      const sentAt = this.clock.mono();
+      const sentAt = this.#clock.mono();
       const found = await this.#state.watch(JOB_PREFIX, after, this.#timing.watchWait);
       if (found.kind === 'unknown') {
-        await this.clock.sleep(this.#timing.tick);
+        await this.#clock.sleep(this.#timing.tick);
       } else if (found.kind === 'tooOld') {
         const jobs = await this.#state.list(JOB_PREFIX);
         if (jobs === 'unknown') continue;
@@ -374,7 +376,7 @@
     for (;;) {
       const types = await this.#cloud.catalog();
       if (types !== null) this.#owner.push({ kind: 'catalog', types });
-      await this.clock.sleep(types === null ? this.#timing.tick : 6 * this.#timing.workerLease);
+      await this.#clock.sleep(types === null ? this.#timing.tick : 6 * this.#timing.workerLease);
     }
   }
 
@@ -382,11 +384,11 @@
     const pause = Math.max(this.#timing.longestReport, (this.settings.cluster.cloud.list_lag_s * 1000) / 4);
     for (;;) {
       if (this.#owner.state.leadership !== null) {
-        const askedAt = this.clock.mono();
+        const askedAt = this.#clock.mono();
         const machines = await this.#cloud.machines();
         if (machines !== null) this.#owner.push({ kind: 'listed', askedAt, machines });
       }
-      await this.clock.sleep(pause);
+      await this.#clock.sleep(pause);
     }
   }
 }
--- a/src/owner.ts
+++ b/src/owner.ts
@@ -6,15 +6,6 @@
 import type { CoreState } from './core/state.js';
 import type { Log } from './logging.js';
 
-/** Emits once the input that is ready now has been read. */
-const nextTurn = new Observable<void>((subscriber) => {
-  const turn = setImmediate(() => {
-    subscriber.next();
-    subscriber.complete();
-  });
-  return () => clearImmediate(turn);
-});
-
 export class Owner {
   readonly #commands = new Subject<Command>();
   readonly #subscription: Subscription;
@@ -25,6 +16,13 @@
     private readonly log: Log,
     private readonly carryOut: (effect: Effect) => void,
   ) {
+    // A batch is all that has come in by the time the input that is ready now is read.
+    const nextTurn = new Observable<void>((subscriber) => {
+      clock.soon(() => {
+        subscriber.next();
+        subscriber.complete();
+      });
+    });
     this.#subscription = this.#commands
       .pipe(buffer(this.#commands.pipe(exhaustMap(() => nextTurn))))
       .subscribe((batch) => this.#work(batch));
--- /dev/null
+++ b/src/service.ts
@@ -0,0 +1,37 @@
+/** A controller as a process: a node with its ports on the network. */
+import { randomUUID } from 'node:crypto';
+import { HttpCloud } from './adapters/cloud.js';
+import { Peers } from './adapters/peers.js';
+import { createPublicServer } from './adapters/server.js';
+import { HttpStateService } from './adapters/state.js';
+import { HttpWorkers } from './adapters/workers.js';
+import { systemClock } from './clock.js';
+import type { Log } from './logging.js';
+import { ControllerNode } from './node.js';
+import { parseAddress, timing, type PlatformSettings } from './settings.js';
+
+export function startService(settings: PlatformSettings, log: Log): void {
+  const clock = systemClock;
+  const times = timing(settings);
+  const node = new ControllerNode(settings, {
+    state: new HttpStateService(settings, clock),
+    cloud: new HttpCloud(settings, clock),
+    workers: new HttpWorkers(2 * times.longestReport),
+    clock,
+    log,
+    incarnation: randomUUID(),
+  });
+  const server = createPublicServer(node, settings.cluster.quota.sockets);
+  const { host, port } = parseAddress(settings.public_addr);
+  server.on('error', (error) => log.error({ error: error.message }, 'public port'));
+  server.listen(port, host);
+  new Peers(
+    settings,
+    times,
+    clock,
+    log,
+    () => node.status(),
+    (status) => node.onPeer(status),
+  ).start();
+  node.start();
+}
--- /dev/null
+++ b/test/days.test.ts
@@ -0,0 +1,43 @@
+/** The whole service through drawn days, every rule of the protocol checked by an outsider. */
+import fc from 'fast-check';
+import { expect, test } from 'vitest';
+import { drawDay, seeded, World } from './standins/world.js';
+
+const DAY = 90_000;
+/** Long enough after the last fault for every lease, boot and return. */
+const REST = 150_000;
+
+async function playDay(seed: number, faults: number, cpusMax: number): Promise<World> {
+  const world = new World(seeded(seed), cpusMax);
+  drawDay(world, DAY, faults);
+  await world.clock.runUntil(DAY + REST);
+  return world;
+}
+
+test('a quiet day: every job is done, no rule is broken', async () => {
+  const world = await playDay(1, 0, 0);
+  expect(world.checker.broken).toEqual([]);
+  expect(world.checker.unfinished()).toEqual([]);
+  expect(world.checker.started).toBeGreaterThan(20);
+});
+
+test('a team at its limit never uses more, and still gets all its work done', async () => {
+  const world = await playDay(2, 0, 6);
+  expect(world.checker.broken).toEqual([]);
+  expect(world.checker.unfinished()).toEqual([]);
+});
+
+test('days with troubles of every kind: no rule is broken, and all that was accepted ends', async () => {
+  await fc.assert(
+    fc.asyncProperty(
+      fc.integer({ min: 1, max: 1_000_000 }),
+      fc.integer({ min: 3, max: 14 }),
+      async (seed, faults) => {
+        const world = await playDay(seed, faults, seed % 2 === 0 ? 0 : 16);
+        expect(world.checker.broken).toEqual([]);
+        expect(world.checker.unfinished()).toEqual([]);
+      },
+    ),
+    { seed: 7, numRuns: Number(process.env['DAYS'] ?? 25), endOnFailure: true },
+  );
+}, 900_000);
--- /dev/null
+++ b/test/standins/checker.ts
@@ -0,0 +1,151 @@
+/**
+ * Every rule of the protocol, checked from what users are told and what machines do.
+ * It knows nothing of how the service works.
+ */
+import { asObject } from '../../src/wire/json.js';
+
+export interface SubmittedJob {
+  readonly id: string;
+  readonly team: string;
+  readonly tasks: number;
+  readonly cpus: number;
+  readonly memoryGb: number;
+  readonly spot: boolean;
+  readonly zone: string | null;
+  readonly oneZone: boolean;
+  readonly spread: boolean;
+}
+
+interface Standing {
+  accepted: boolean;
+  /** When its user was told that it is cancelled. */
+  cancelledAt: number | null;
+  cancelAsked: boolean;
+  final: string | null;
+  readonly done: Set<number>;
+}
+
+interface OnMachine {
+  readonly job: string;
+  readonly task: number;
+  readonly machine: string;
+  readonly zone: string;
+}
+
+export class Checker {
+  readonly broken: string[] = [];
+  readonly #jobs = new Map<string, SubmittedJob>();
+  readonly #standing = new Map<string, Standing>();
+  readonly #on: OnMachine[] = [];
+  started = 0;
+
+  constructor(
+    private readonly cancelMs: number,
+    private readonly limitCpus: number,
+  ) {}
+
+  #break(rule: string, what: string): void {
+    this.broken.push(`${rule}: ${what}`);
+  }
+
+  #of(id: string): Standing {
+    let standing = this.#standing.get(id);
+    if (standing === undefined) {
+      standing = { accepted: false, cancelledAt: null, cancelAsked: false, final: null, done: new Set() };
+      this.#standing.set(id, standing);
+    }
+    return standing;
+  }
+
+  submitted(job: SubmittedJob): void {
+    this.#jobs.set(job.id, job);
+    this.#of(job.id);
+  }
+
+  cancelAsked(id: string): void {
+    this.#of(id).cancelAsked = true;
+  }
+
+  /** A user got an answer about a job. */
+  answered(
+    id: string,
+    status: number,
+    body: unknown,
+    now: number,
+    kind: 'submit' | 'show' | 'withdraw',
+  ): void {
+    const standing = this.#of(id);
+    if (status === 200 || status === 201) {
+      if (!this.#jobs.has(id)) this.#break('invented', id);
+      standing.accepted = true;
+      const stage = asObject(body)?.['stage'];
+      if (standing.final !== null && stage !== standing.final) {
+        this.#break('went_back', `${id} from ${standing.final} to ${String(stage)}`);
+      }
+      if (stage === 'done') {
+        standing.final = 'done';
+        if (standing.done.size < (this.#jobs.get(id)?.tasks ?? 0)) this.#break('not_done', id);
+      }
+      if (stage === 'withdrawn') {
+        standing.final = 'withdrawn';
+        standing.cancelledAt ??= now;
+        if (!standing.cancelAsked) this.#break('went_back', `${id} is cancelled by nobody`);
+      }
+    } else if (
+      standing.accepted &&
+      (status === 404 || (kind === 'submit' && status < 500 && status !== 429))
+    ) {
+      this.#break('forgotten', `${id} gets ${status}`);
+    }
+  }
+
+  taskStarts(job: string, task: number, machine: string, zone: string, spot: boolean, now: number): void {
+    this.started += 1;
+    const spec = this.#jobs.get(job);
+    if (spec === undefined) {
+      this.#break('invented', `${job}/${task} runs`);
+      return;
+    }
+    for (const other of this.#on) {
+      if (other.job === job && other.task === task && other.machine !== machine) {
+        this.#break('ran_twice', `${job}/${task} on ${other.machine} and ${machine} at ${now.toFixed(0)}`);
+      }
+    }
+    const zones = this.#on.filter((other) => other.job === job).map((other) => other.zone);
+    const crowded = zones.filter((other) => other === zone).length + 1 > Math.ceil(spec.tasks / 2);
+    if (
+      (spot && !spec.spot) ||
+      (spec.zone !== null && spec.zone !== zone) ||
+      (spec.oneZone && zones.some((other) => other !== zone)) ||
+      (spec.spread && crowded)
+    ) {
+      this.#break('wrong_place', `${job}/${task} on ${machine}`);
+    }
+    this.#on.push({ job, task, machine, zone });
+    const cpus = this.#on.reduce((sum, on) => sum + (this.#jobs.get(on.job)?.cpus ?? 0), 0);
+    if (this.limitCpus > 0 && cpus > this.limitCpus + 1e-6) this.#break('quota', `${cpus} cpus`);
+    this.#checkCancelled(job, task, now);
+  }
+
+  #checkCancelled(job: string, task: number, now: number): void {
+    const at = this.#of(job).cancelledAt;
+    if (at !== null && now > at + this.cancelMs) this.#break('ran_cancelled', `${job}/${task}`);
+  }
+
+  taskGone(job: string, task: number, machine: string, completed: boolean, now: number): void {
+    const at = this.#on.findIndex((on) => on.job === job && on.task === task && on.machine === machine);
+    if (at < 0) return;
+    this.#on.splice(at, 1);
+    if (completed) this.#of(job).done.add(task);
+    this.#checkCancelled(job, task, now);
+  }
+
+  /** To be called now and then: what should be gone by now, and is not. */
+  look(now: number): void {
+    for (const { job, task } of this.#on) this.#checkCancelled(job, task, now);
+  }
+
+  unfinished(): string[] {
+    return [...this.#standing].filter(([, s]) => s.accepted && s.final === null).map(([id]) => id);
+  }
+}
--- /dev/null
+++ b/test/standins/clock.ts
@@ -0,0 +1,85 @@
+/** A clock that moves only when everything due has been done. */
+import type { Clock } from '../../src/clock.js';
+
+interface Due {
+  readonly at: number;
+  readonly order: number;
+  readonly call: () => void;
+}
+
+export class VirtualClock {
+  now = 0;
+  #order = 0;
+  readonly #due: Due[] = [];
+
+  at(at: number, call: () => void): void {
+    const due = { at: Math.max(at, this.now), order: this.#order++, call };
+    let low = 0;
+    let high = this.#due.length;
+    while (low < high) {
+      const middle = (low + high) >> 1;
+      const other = this.#due[middle];
+      // Latest first, so that the next one is popped off the end.
+      if (other !== undefined && (other.at > due.at || (other.at === due.at && other.order > due.order))) {
+        low = middle + 1;
+      } else high = middle;
+    }
+    this.#due.splice(low, 0, due);
+  }
+
+  in(ms: number, call: () => void): void {
+    this.at(this.now + ms, call);
+  }
+
+  sleep(ms: number): Promise<void> {
+    return new Promise((resolve) => {
+      this.in(ms, resolve);
+    });
+  }
+
+  async runUntil(end: number): Promise<void> {
+    for (;;) {
+      const next = this.#due.at(-1);
+      if (next === undefined || next.at > end) break;
+      this.#due.pop();
+      this.now = next.at;
+      next.call();
+      // Lets every promise that this has settled run on before time moves.
+      await new Promise((resolve) => setImmediate(resolve));
+    }
+    this.now = end;
+  }
+}
+
+/** One process's view of time: with its life, all that it waits for ends. */
+export class ProcessClock implements Clock {
+  alive = true;
+
+  constructor(
+    private readonly world: VirtualClock,
+    private readonly drift: number,
+    private readonly wallError: number,
+  ) {}
+
+  mono(): number {
+    return this.world.now * this.drift;
+  }
+
+  wall(): number {
+    return 1_000_000_000_000 + this.world.now + this.wallError;
+  }
+
+  sleep(ms: number): Promise<void> {
+    return new Promise((resolve) => {
+      this.world.in(ms / this.drift, () => {
+        if (this.alive) resolve();
+      });
+    });
+  }
+
+  soon(call: () => void): void {
+    this.world.in(0, () => {
+      if (this.alive) call();
+    });
+  }
+}
--- /dev/null
+++ b/test/standins/cloud.ts
@@ -0,0 +1,338 @@
+/** The cloud and the workers on its machines, as PROTOCOL tells of them. */
+import type { Cloud, RentalOutcome } from '../../src/adapters/cloud.js';
+import type { Workers } from '../../src/adapters/workers.js';
+import type { ListedMachine, MachineType, Report, WorkerCommand } from '../../src/core/types.js';
+import { asObject } from '../../src/wire/json.js';
+import { encodeDirect, parseReport } from '../../src/wire/workers.js';
+import type { Checker } from './checker.js';
+import type { Network } from './network.js';
+
+export const TYPES: MachineType[] = [
+  {
+    name: 'small',
+    cpus: 8,
+    gpus: 0,
+    memoryGb: 32,
+    cacheGb: 20,
+    fetchGbPerS: 1,
+    price: 1,
+    spotPrice: 0.4,
+    bootS: 5,
+    zones: ['a', 'b'],
+  },
+];
+
+interface RunningTask {
+  readonly job: string;
+  readonly task: number;
+  readonly take: number;
+  stage: 'pulling' | 'running' | 'ended';
+  cadence?: string;
+}
+
+/** Delivers a report to a node and calls back with its answer. */
+export type Deliver = (node: string, body: unknown, reply: (status: number, body: string) => void) => void;
+
+export interface WorldRules {
+  readonly nodes: readonly string[];
+  readonly reportMs: number;
+  readonly leaseMs: number;
+  readonly runMs: (job: string, task: number) => number;
+}
+
+export class Worker {
+  session = 1;
+  seq = 0;
+  token = 0;
+  gone = false;
+  hungUntil = 0;
+  faulty = false;
+  readonly tasks = new Map<string, RunningTask>();
+  #node: string;
+  #leaseFrom: number;
+  #inFlight = 0;
+  #round = 0;
+
+  constructor(
+    readonly listed: ListedMachine,
+    private readonly network: Network,
+    private readonly rules: WorldRules,
+    private readonly checker: Checker,
+    private readonly deliver: Deliver,
+  ) {
+    this.#node = rules.nodes[Math.floor(network.draw() * rules.nodes.length)] ?? '';
+    this.#leaseFrom = network.clock.now;
+    this.#schedule();
+    this.#watchLease();
+  }
+
+  #schedule(): void {
+    const round = ++this.#round;
+    const { clock, draw } = this.network;
+    clock.in(this.rules.reportMs * (0.75 + 0.5 * draw()), () => {
+      if (round === this.#round) this.#awake(() => this.#report());
+    });
+  }
+
+  /** A hanging machine does it when it goes on. */
+  #awake(call: () => void): void {
+    const { clock } = this.network;
+    if (this.gone) return;
+    if (this.hungUntil > clock.now) clock.at(this.hungUntil, () => this.#awake(call));
+    else call();
+  }
+
+  #watchLease(): void {
+    this.network.clock.in(100, () =>
+      this.#awake(() => {
+        if (this.network.clock.now - this.#leaseFrom > this.rules.leaseMs) {
+          this.killAll();
+          this.session += 1;
+          this.#leaseFrom = this.network.clock.now;
+        }
+        this.#watchLease();
+      }),
+    );
+  }
+
+  killAll(): void {
+    for (const { job, task } of this.tasks.values()) {
+      this.checker.taskGone(job, task, this.listed.name, false, this.network.clock.now);
+    }
+    this.tasks.clear();
+  }
+
+  body(): object {
+    this.seq += 1;
+    const { name, address, type, zone, spot } = this.listed;
+    return {
+      skiff: name,
+      address,
+      bench: type,
+      hall: zone,
+      borrowed: spot,
+      watch: this.session,
+      barNo: this.seq,
+      baton: this.token,
+      recallS: null,
+      movements: [...this.tasks.values()].map(({ job, task, ...rest }) => ({
+        movement: `${job}/${task}`,
+        ...rest,
+      })),
+    };
+  }
+
+  #report(): void {
+    const { clock } = this.network;
+    const sentAt = clock.now;
+    const { session } = this;
+    const node = this.#node;
+    const flight = ++this.#inFlight;
+    const body = JSON.parse(JSON.stringify(this.body())) as unknown;
+    let over = false;
+    const next = (ms: number): void => {
+      over = true;
+      const round = ++this.#round;
+      clock.in(ms, () => {
+        if (round === this.#round) this.#awake(() => this.#report());
+      });
+    };
+    clock.in(4000, () => {
+      if (over || flight !== this.#inFlight) return;
+      this.#elsewhere();
+      next(1000);
+    });
+    if (this.network.isCut(this.listed.name, node) && this.network.draw() < 0.5) return;
+    this.network.send(this.listed.name, node, () =>
+      this.deliver(node, body, (status, text) =>
+        this.network.send(node, this.listed.name, () =>
+          this.#awake(() => {
+            if (over || clock.now - sentAt > 4000) return;
+            const answer = asObject(JSON.parse(text === '' ? '{}' : text));
+            if (status === 200) {
+              over = true;
+              const token = Number(answer?.['baton'] ?? 0);
+              if (session === this.session && token >= this.token) {
+                this.token = token;
+                this.#leaseFrom = Math.max(this.#leaseFrom, sentAt);
+                this.execute(answer?.['cues']);
+              }
+              this.#schedule();
+            } else if (
+              status === 421 &&
+              this.rules.nodes.includes(String(answer?.['conductor'])) &&
+              answer?.['conductor'] !== node
+            ) {
+              this.#node = String(answer?.['conductor']);
+              next(250);
+            } else {
+              this.#elsewhere();
+              next(1000);
+            }
+          }),
+        ),
+      ),
+    );
+  }
+
+  #elsewhere(): void {
+    const { nodes } = this.rules;
+    this.#node = nodes[(nodes.indexOf(this.#node) + 1) % nodes.length] ?? '';
+  }
+
+  execute(cues: unknown): void {
+    for (const raw of Array.isArray(cues) ? (cues as unknown[]) : []) {
+      const cue = asObject(raw);
+      const name = String(cue?.['movement']);
+      const take = Number(cue?.['take']);
+      const key = `${name}#${take}`;
+      const running = this.tasks.get(key);
+      if (cue?.['cue'] === 'start' && running === undefined) this.#start(name, take);
+      else if (cue?.['cue'] === 'halt' && running !== undefined && running.stage !== 'ended')
+        this.#end(running, 'halted');
+      else if (cue?.['cue'] === 'reap' && running?.stage === 'ended') this.tasks.delete(key);
+    }
+  }
+
+  #start(name: string, take: number): void {
+    const at = name.lastIndexOf('/');
+    const job = name.slice(0, at);
+    const task = Number(name.slice(at + 1));
+    const running: RunningTask = { job, task, take, stage: 'pulling' };
+    this.tasks.set(`${name}#${take}`, running);
+    this.network.clock.in(300, () =>
+      this.#awake(() => {
+        if (this.tasks.get(`${name}#${take}`) !== running || running.stage === 'ended') return;
+        running.stage = 'running';
+        const { name: machine, zone, spot } = this.listed;
+        this.checker.taskStarts(job, task, machine, zone, spot, this.network.clock.now);
+        this.network.clock.in(this.rules.runMs(job, task), () =>
+          this.#awake(() => {
+            const still = this.tasks.get(`${name}#${take}`) === running && running.stage === 'running';
+            if (still) this.#end(running, this.faulty ? 'error' : 'done');
+          }),
+        );
+      }),
+    );
+  }
+
+  #end(running: RunningTask, cadence: string): void {
+    running.stage = 'ended';
+    running.cadence = cadence;
+    this.checker.taskGone(
+      running.job,
+      running.task,
+      this.listed.name,
+      cadence === 'done',
+      this.network.clock.now,
+    );
+  }
+
+  /** A direct command, whenever it arrives. */
+  direct(body: unknown, reply: (report: unknown) => void): void {
+    this.#awake(() => {
+      const raw = asObject(body);
+      if (Number(raw?.['baton']) >= this.token && raw?.['watch'] === this.session) {
+        this.token = Number(raw?.['baton']);
+        this.execute(raw['cues']);
+      }
+      reply(JSON.parse(JSON.stringify(this.body())) as unknown);
+    });
+  }
+}
+
+export class CloudStandin {
+  readonly workers = new Map<string, Worker>();
+  readonly #machines = new Map<
+    string,
+    { readonly listed: ListedMachine; readonly rentedAt: number; up: boolean }
+  >();
+  readonly #granted = new Map<string, string[]>();
+  #next = 0;
+  capacity = 6;
+  troubleUntil = 0;
+
+  constructor(
+    private readonly network: Network,
+    private readonly make: (listed: ListedMachine) => Worker,
+  ) {}
+
+  rent(request: string, type: string, zone: string, spot: boolean, count: number): RentalOutcome {
+    const before = this.#granted.get(request);
+    if (before !== undefined) return before;
+    const names: string[] = [];
+    while (names.length < count && this.#machines.size < this.capacity) {
+      const name = `vm-${String(this.#next++).padStart(6, '0')}`;
+      const listed: ListedMachine = {
+        name,
+        address: `10.1.0.1:${this.#next}`,
+        type,
+        zone,
+        spot,
+        stage: 'booting',
+        ageS: 0,
+      };
+      const machine = { listed, rentedAt: this.network.clock.now, up: false };
+      this.#machines.set(name, machine);
+      names.push(name);
+      this.network.clock.in(3000 + 4000 * this.network.draw(), () => {
+        if (!this.#machines.has(name)) return;
+        machine.up = true;
+        this.workers.set(name, this.make(listed));
+      });
+    }
+    if (names.length === 0) return 'refused';
+    this.#granted.set(request, names);
+    return names;
+  }
+
+  /** The machine and all that is on it are gone. */
+  remove(name: string): void {
+    this.#machines.delete(name);
+    const worker = this.workers.get(name);
+    if (worker === undefined) return;
+    worker.killAll();
+    worker.gone = true;
+    this.workers.delete(name);
+  }
+
+  list(): ListedMachine[] {
+    const { now } = this.network.clock;
+    return [...this.#machines.values()]
+      .filter(({ rentedAt }) => now - rentedAt > 2000)
+      .map(({ listed, rentedAt, up }) => ({
+        ...listed,
+        stage: up ? ('running' as const) : ('booting' as const),
+        ageS: (now - rentedAt) / 1000,
+      }));
+  }
+
+  /** One node's access to the cloud and to the workers' own addresses. */
+  accessFor(node: string): Cloud & Workers {
+    const ask = async <T>(serve: () => T): Promise<T | null> => {
+      if (this.troubleUntil > this.network.clock.now) {
+        await this.network.clock.sleep(1000);
+        return null;
+      }
+      const answer = await this.network.ask<T>(node, 'cloud', 3000, (reply) => reply(serve()));
+      if (answer === null) await this.network.clock.sleep(1000);
+      return answer;
+    };
+    return {
+      catalog: () => ask(() => TYPES),
+      machines: () => ask(() => this.list()),
+      rent: async (...wish) => (await ask(() => this.rent(...wish))) ?? 'unknown',
+      giveBack: async (names) =>
+        (await ask(() => names.forEach((name) => this.remove(name)) ?? true)) ?? false,
+      direct: async (address, token, session, commands: readonly WorkerCommand[]): Promise<Report | null> => {
+        const worker = [...this.workers.values()].find(({ listed }) => listed.address === address);
+        if (worker === undefined) return null;
+        const body = JSON.parse(encodeDirect(token, session, commands)) as unknown;
+        const found = await this.network.ask<unknown>(node, worker.listed.name, 3000, (reply) =>
+          worker.direct(body, reply),
+        );
+        return found === null ? null : parseReport(found);
+      },
+    };
+  }
+}
--- /dev/null
+++ b/test/standins/network.ts
@@ -0,0 +1,47 @@
+/** Messages between hosts: delayed, and while a cut lasts held back and then delivered in order. */
+import type { VirtualClock } from './clock.js';
+
+export type Draw = () => number;
+
+export class Network {
+  readonly #cuts = new Map<string, number>();
+
+  constructor(
+    readonly clock: VirtualClock,
+    readonly draw: Draw,
+  ) {}
+
+  #key(from: string, to: string): string {
+    return from < to ? `${from}|${to}` : `${to}|${from}`;
+  }
+
+  cut(from: string, to: string, forMs: number): void {
+    this.#cuts.set(this.#key(from, to), this.clock.now + forMs);
+  }
+
+  isCut(from: string, to: string): boolean {
+    return (this.#cuts.get(this.#key(from, to)) ?? 0) > this.clock.now;
+  }
+
+  /** Delivers one message, after the cut if there is one. */
+  send(from: string, to: string, deliver: () => void): void {
+    const until = Math.max(this.clock.now, this.#cuts.get(this.#key(from, to)) ?? 0);
+    const slow = this.draw() < 0.01 ? 200 : 2;
+    this.clock.at(until + slow * (0.5 + this.draw()), deliver);
+  }
+
+  /** A request and its answer; null when none has come in time, though it may still be executed. */
+  ask<T>(
+    from: string,
+    to: string,
+    timeoutMs: number,
+    serve: (reply: (answer: T) => void) => void,
+  ): Promise<T | null> {
+    return new Promise((resolve) => {
+      this.clock.in(timeoutMs, () => resolve(null));
+      // A connection that cannot be made now is never made later; one in use is held back.
+      if (this.isCut(from, to) && this.draw() < 0.5) return;
+      this.send(from, to, () => serve((answer) => this.send(to, from, () => resolve(answer))));
+    });
+  }
+}
--- /dev/null
+++ b/test/standins/state.ts
@@ -0,0 +1,208 @@
+/** The state service, as PROTOCOL tells of it. */
+import type { Commit, Read, StateService, Watch } from '../../src/adapters/state.js';
+import type { Change, Entry, Transaction } from '../../src/wire/state.js';
+import type { Network } from './network.js';
+
+interface Kept {
+  readonly value: unknown;
+  readonly stamp: number;
+  readonly lease: number | null;
+}
+
+const KEPT_CHANGES = 200;
+
+export class StateStandin {
+  revision = 1;
+  readonly keys = new Map<string, Kept>();
+  readonly #leases = new Map<number, { life: number; endsAt: number }>();
+  #nextLease = 1;
+  readonly #changes: Change[] = [];
+  #waiting: (() => void)[] = [];
+  #outageUntil = 0;
+  readonly #refused = new Map<string, number>();
+
+  constructor(readonly network: Network) {}
+
+  outage(ms: number): void {
+    this.#outageUntil = this.network.clock.now + ms;
+    for (const lease of this.#leases.values())
+      lease.endsAt = Math.max(lease.endsAt, this.#outageUntil + lease.life);
+  }
+
+  refuse(node: string, ms: number): void {
+    this.#refused.set(node, this.network.clock.now + ms);
+  }
+
+  isDown(node: string): boolean {
+    return Math.max(this.#outageUntil, this.#refused.get(node) ?? 0) > this.network.clock.now;
+  }
+
+  expire(): void {
+    for (const [id, lease] of this.#leases) {
+      if (lease.endsAt > this.network.clock.now) continue;
+      this.#leases.delete(id);
+      const owned = [...this.keys].filter(([, kept]) => kept.lease === id).map(([key]) => key);
+      if (owned.length > 0) this.#change(owned.map((key) => ({ remove: key })));
+    }
+  }
+
+  #change(writes: Transaction['apply']): void {
+    this.revision += 1;
+    for (const write of writes) {
+      if ('put' in write) {
+        // Values cross the wire: nobody may share an object with the service.
+        const value = JSON.parse(JSON.stringify(write.value)) as unknown;
+        this.keys.set(write.put, { value, stamp: this.revision, lease: write.lease ?? null });
+        this.#changes.push({ key: write.put, value, stamp: this.revision });
+      } else if (this.keys.delete(write.remove)) {
+        this.#changes.push({ key: write.remove, value: undefined, stamp: this.revision });
+      }
+    }
+    if (this.#changes.length > KEPT_CHANGES) this.#changes.splice(0, this.#changes.length - KEPT_CHANGES);
+    const waiting = this.#waiting;
+    this.#waiting = [];
+    for (const wake of waiting) wake();
+  }
+
+  commit(txn: Transaction): Commit {
+    this.expire();
+    for (const write of txn.apply) {
+      if ('put' in write && write.lease !== undefined && !this.#leases.has(write.lease))
+        return { kind: 'noLease' };
+    }
+    const failed = txn.when.filter(({ key, stamp }) => (this.keys.get(key)?.stamp ?? 0) !== stamp);
+    if (failed.length > 0) return { kind: 'failed', keys: failed.map(({ key }) => key) };
+    this.#change(txn.apply);
+    return { kind: 'applied', revision: this.revision };
+  }
+
+  read(key: string): Entry | null {
+    this.expire();
+    const kept = this.keys.get(key);
+    return kept === undefined ? null : { key, value: kept.value, stamp: kept.stamp };
+  }
+
+  list(prefix: string): Entry[] {
+    this.expire();
+    return [...this.keys.keys()]
+      .filter((key) => key.startsWith(prefix))
+      .sort()
+      .map((key) => ({ key, value: this.keys.get(key)?.value, stamp: this.keys.get(key)?.stamp ?? 0 }));
+  }
+
+  watch(
+    prefix: string,
+    after: number,
+    waitMs: number,
+    down: () => boolean,
+    reply: (found: Watch) => void,
+  ): void {
+    const { clock } = this.network;
+    const until = clock.now + waitMs;
+    const look = (): void => {
+      this.expire();
+      if (down()) {
+        clock.in(100, look);
+        return;
+      }
+      const oldest = this.#changes[0]?.stamp ?? 0;
+      if (this.#changes.length >= KEPT_CHANGES && after < oldest) {
+        reply({ kind: 'tooOld' });
+        return;
+      }
+      const changes = this.#changes.filter(({ key, stamp }) => stamp > after && key.startsWith(prefix));
+      if (changes.length > 0 || clock.now >= until)
+        reply({ kind: 'changes', changes, revision: this.revision });
+      else if (!this.#waiting.includes(look)) this.#waiting.push(look);
+    };
+    clock.in(waitMs, look);
+    look();
+  }
+
+  grant(life: number): number {
+    const id = this.#nextLease++;
+    this.#leases.set(id, { life, endsAt: this.network.clock.now + life });
+    return id;
+  }
+
+  renew(id: number): boolean {
+    this.expire();
+    const lease = this.#leases.get(id);
+    if (lease === undefined) return false;
+    lease.endsAt = this.network.clock.now + lease.life;
+    return true;
+  }
+}
+
+/** One node's connection to the state service. */
+export class StateClient implements StateService {
+  #contactAt: number | null = null;
+
+  constructor(
+    private readonly node: string,
+    private readonly service: StateStandin,
+    private readonly timeoutMs: number,
+    private readonly mono: () => number,
+  ) {}
+
+  async #ask<T>(serve: () => T, extraMs = 0): Promise<T | 'down' | null> {
+    const sentAt = this.mono();
+    const answer = await this.service.network.ask<T | 'down'>(
+      this.node,
+      'state',
+      this.timeoutMs + extraMs,
+      (reply) => {
+        reply(this.service.isDown(this.node) ? 'down' : serve());
+      },
+    );
+    if (answer !== null && answer !== 'down') this.#contactAt = Math.max(this.#contactAt ?? sentAt, sentAt);
+    return answer;
+  }
+
+  contactAt(): number | null {
+    return this.#contactAt;
+  }
+
+  async read(key: string): Promise<Read> {
+    const answer = await this.#ask(() => ({ entry: this.service.read(key) }));
+    return answer === null || answer === 'down' ? 'unknown' : answer;
+  }
+
+  async list(prefix: string): Promise<{ entries: Entry[]; revision: number } | 'unknown'> {
+    const answer = await this.#ask(() => ({
+      entries: this.service.list(prefix),
+      revision: this.service.revision,
+    }));
+    return answer === null || answer === 'down' ? 'unknown' : answer;
+  }
+
+  async commit(txn: Transaction): Promise<Commit> {
+    const answer = await this.#ask(() => this.service.commit(txn));
+    if (answer === null) return { kind: 'unknown' };
+    return answer === 'down' ? { kind: 'refused' } : answer;
+  }
+
+  async watch(prefix: string, after: number, waitMs: number): Promise<Watch> {
+    const sentAt = this.mono();
+    const found = await this.service.network.ask<Watch>(
+      this.node,
+      'state',
+      waitMs + this.timeoutMs,
+      (reply) => {
+        this.service.watch(prefix, after, waitMs, () => this.service.isDown(this.node), reply);
+      },
+    );
+    if (found !== null) this.#contactAt = Math.max(this.#contactAt ?? sentAt, sentAt);
+    return found ?? { kind: 'unknown' };
+  }
+
+  async grant(lifeMs: number): Promise<number | null> {
+    const answer = await this.#ask(() => this.service.grant(lifeMs));
+    return answer === 'down' ? null : answer;
+  }
+
+  async renew(lease: number): Promise<boolean | null> {
+    const answer = await this.#ask(() => this.service.renew(lease));
+    return answer === 'down' ? null : answer;
+  }
+}
--- /dev/null
+++ b/test/standins/world.ts
@@ -0,0 +1,243 @@
+/** The whole service against the stand-ins, with users of its own and faults drawn from a seed. */
+import { pino } from 'pino';
+import { unsafeUniformIntDistribution, xoroshiro128plus } from 'pure-rand';
+import { ControllerNode } from '../../src/node.js';
+import { parseSettings, timing, type PlatformSettings } from '../../src/settings.js';
+import { Checker, type SubmittedJob } from './checker.js';
+import { ProcessClock, VirtualClock } from './clock.js';
+import { CloudStandin, Worker } from './cloud.js';
+import { Network, type Draw } from './network.js';
+import { StateClient, StateStandin } from './state.js';
+
+const NODES = ['n-0', 'n-1', 'n-2'];
+const ZONES = ['a', 'b', 'a'];
+
+export function testSettings(node: number, cpusMax = 0): PlatformSettings {
+  const at = (i: number, port: number): string => `127.0.0.1:${port + i}`;
+  return parseSettings({
+    host_name: NODES[node],
+    zone: ZONES[node],
+    public_addr: at(node, 7000),
+    peer_bind: at(node, 7100),
+    others: NODES.flatMap((name, i) =>
+      i === node ? [] : [{ host_name: name, zone: ZONES[i], peer_addr: at(i, 7100) }],
+    ),
+    endpoints: { cloud: '127.0.0.1:7200', state: '127.0.0.1:7300' },
+    cluster: {
+      count: 3,
+      zones: ['a', 'b'],
+      teams: [{ name: 'crew', cpus: 0, cpus_max: cpusMax, gpus: 0, gpus_max: 0 }],
+      objectives: [],
+      workers: { report_s: 1, lease_s: 10, gang_wait_s: 20, gang_peer_s: 4, cancel_s: 30 },
+      state: { rps: 250, write_rps: 40, value_kb: 32, txn_ops: 32 },
+      cloud: { rps: 4, list_lag_s: 2 },
+      quota: { cpu: 0.2, ram_mb: 128, sockets: 200 },
+      clock_error_ms: 100,
+    },
+  });
+}
+
+export function seeded(seed: number): Draw {
+  const generator = xoroshiro128plus(seed);
+  return () => unsafeUniformIntDistribution(0, 0x3fffffff, generator) / 0x40000000;
+}
+
+interface Life {
+  readonly node: ControllerNode;
+  readonly clock: ProcessClock;
+}
+
+export class World {
+  readonly clock = new VirtualClock();
+  readonly network: Network;
+  readonly state: StateStandin;
+  readonly cloud: CloudStandin;
+  readonly checker: Checker;
+  readonly jobs = new Map<string, SubmittedJob>();
+  readonly #lives = new Map<string, Life>();
+  #incarnations = 0;
+
+  constructor(
+    readonly draw: Draw,
+    private readonly cpusMax = 0,
+  ) {
+    this.network = new Network(this.clock, draw);
+    this.state = new StateStandin(this.network);
+    this.checker = new Checker(30_000, cpusMax);
+    this.cloud = new CloudStandin(this.network, (listed) => this.#worker(listed));
+    for (let i = 0; i < NODES.length; i += 1) this.start(i);
+    this.#gossip();
+  }
+
+  #worker(listed: ConstructorParameters<typeof Worker>[0]): Worker {
+    const rules = {
+      nodes: NODES,
+      reportMs: 1000,
+      leaseMs: 10_000,
+      runMs: () => 2000 + 6000 * this.draw(),
+    };
+    return new Worker(listed, this.network, rules, this.checker, (node, body, reply) => {
+      const life = this.#lives.get(node);
+      if (life?.clock.alive === true) life.node.report(body, reply);
+    });
+  }
+
+  start(i: number): void {
+    const name = NODES[i] ?? '';
+    const settings = testSettings(i, this.cpusMax);
+    const clock = new ProcessClock(this.clock, 1 + 0.001 * (this.draw() - 0.5), 200 * (this.draw() - 0.5));
+    const access = this.cloud.accessFor(name);
+    const node = new ControllerNode(settings, {
+      state: new StateClient(name, this.state, timing(settings).stateTimeout, () => clock.mono()),
+      cloud: access,
+      workers: access,
+      clock,
+      log: pino({ level: process.env['TEST_LOG'] ?? 'silent' }),
+      incarnation: `life-${this.#incarnations++}`,
+    });
+    this.#lives.set(name, { node, clock });
+    node.start();
+  }
+
+  crash(i: number, downMs: number): void {
+    const life = this.#lives.get(NODES[i] ?? '');
+    if (life?.clock.alive !== true) return;
+    life.clock.alive = false;
+    this.clock.in(downMs, () => this.start(i));
+  }
+
+  #gossip(): void {
+    this.clock.in(500, () => {
+      for (const [from, life] of this.#lives) {
+        if (!life.clock.alive) continue;
+        const status = life.node.status();
+        for (const [to, other] of this.#lives) {
+          if (to === from || this.network.isCut(from, to)) continue;
+          this.network.send(from, to, () => {
+            if (other.clock.alive) other.node.onPeer(status);
+          });
+        }
+      }
+      this.checker.look(this.clock.now);
+      this.#gossip();
+    });
+  }
+
+  /** A node that takes users' connections now, or null. */
+  #reachable(): Life | null {
+    const alive = [...this.#lives.values()].filter(({ clock }) => clock.alive);
+    return alive[Math.floor(this.draw() * alive.length)] ?? null;
+  }
+
+  /** One request of a user; the answer is checked against the rules. */
+  async #request(kind: 'submit' | 'show' | 'withdraw', id: string, body: object): Promise<string | null> {
+    const life = this.#reachable();
+    if (life === null) return null;
+    const { users } = life.node;
+    const call =
+      kind === 'submit' ? users.submit(body) : kind === 'show' ? users.show(id) : users.withdraw(id);
+    const answer = await Promise.race([call, this.clock.sleep(5000).then(() => null)]);
+    if (answer === null || !life.clock.alive) return null;
+    const told = JSON.parse(JSON.stringify(answer.body)) as { stage?: string };
+    this.checker.answered(id, answer.status, told, this.clock.now, kind);
+    return answer.status < 300 ? (told.stage ?? null) : null;
+  }
+
+  /** Submits a job until it is accepted, then follows it; cancels it after a while if asked to. */
+  async user(job: SubmittedJob, cancelAfterMs: number | null): Promise<void> {
+    this.checker.submitted(job);
+    this.jobs.set(job.id, job);
+    const body = {
+      nameId: job.id,
+      repertoire: 'class',
+      crew: job.team,
+      form: 'array',
+      urgency: 'normal',
+      movements: job.tasks,
+      cores: job.cpus,
+      gpus: 0,
+      memGb: job.memoryGb,
+      edition: 'img',
+      pullGb: 0.3,
+      benches: null,
+      hall: job.zone,
+      together: job.oneZone,
+      apart: job.spread,
+      borrowed: job.spot,
+      expectedS: 5,
+      bookmarkS: 0,
+      bookmarkWriteS: 0,
+      curtainS: 60,
+    };
+    while ((await this.#request('submit', job.id, body)) === null) await this.clock.sleep(1000);
+    let cancelAt = cancelAfterMs === null ? Infinity : this.clock.now + cancelAfterMs;
+    for (;;) {
+      await this.clock.sleep(1000 + 2000 * this.draw());
+      if (this.draw() < 0.1) await this.#request('submit', job.id, body);
+      if (this.clock.now >= cancelAt) {
+        this.checker.cancelAsked(job.id);
+        if ((await this.#request('withdraw', job.id, {})) !== null) cancelAt = Infinity;
+      }
+      if (this.draw() < 0.05) await this.#request('show', `req-9${job.id.slice(4)}`, {});
+      const stage = await this.#request('show', job.id, {});
+      if (stage === 'done' || stage === 'withdrawn') {
+        if (this.draw() < 0.5) return;
+      }
+    }
+  }
+}
+
+/** Draws a day: jobs arriving, and troubles of every kind the protocol tells of. */
+export function drawDay(world: World, lengthMs: number, faults: number): void {
+  const { draw, clock, network, state, cloud } = world;
+  const pick = <T>(from: readonly T[]): T => from[Math.floor(draw() * from.length)] as T;
+  for (let i = 0; i < 14; i += 1) {
+    const id = `req-${String(i).padStart(6, '0')}`;
+    const job: SubmittedJob = {
+      id,
+      team: 'crew',
+      tasks: 1 + Math.floor(draw() * 6),
+      cpus: pick([1, 2, 4]),
+      memoryGb: 2,
+      spot: draw() < 0.7,
+      zone: draw() < 0.1 ? pick(['a', 'b']) : null,
+      oneZone: draw() < 0.1,
+      spread: draw() < 0.1,
+    };
+    const cancelAfter = draw() < 0.3 ? 20_000 * draw() : null;
+    clock.in(lengthMs * 0.7 * draw(), () => void world.user(job, cancelAfter));
+  }
+  const hosts = (): string[] => [...NODES, 'state', 'cloud', ...cloud.workers.keys()];
+  const troubles: (() => void)[] = [
+    () => world.crash(Math.floor(draw() * 3), 1000 + 5000 * draw()),
+    () => NODES.forEach((_, i) => world.crash(i, 4000)),
+    () => network.cut(pick(NODES), 'state', 20_000 * draw()),
+    () => network.cut(pick(NODES), 'cloud', 20_000 * draw()),
+    () => state.outage(15_000 * draw()),
+    () => state.refuse(pick(NODES), 20_000 * draw()),
+    () => {
+      const worker = pick([...cloud.workers.keys()]);
+      for (const node of NODES) network.cut(worker, node, 25_000 * draw());
+    },
+    () => {
+      const worker = cloud.workers.get(pick([...cloud.workers.keys()]));
+      if (worker !== undefined) worker.hungUntil = clock.now + 25_000 * draw();
+    },
+    () => {
+      const worker = pick([...cloud.workers.keys()]);
+      if (worker !== undefined) cloud.remove(worker);
+    },
+    () => {
+      const worker = cloud.workers.get(pick([...cloud.workers.keys()]));
+      if (worker !== undefined) worker.faulty = true;
+    },
+    () => network.cut(pick(hosts()), pick(hosts()), 30_000 * draw()),
+    () => {
+      const apart = pick(NODES);
+      for (const host of hosts())
+        if (host !== apart && draw() < 0.6) network.cut(apart, host, 25_000 * draw());
+    },
+    () => (cloud.troubleUntil = clock.now + 15_000 * draw()),
+  ];
+  for (let i = 0; i < faults; i += 1) clock.in(5000 + lengthMs * 0.8 * draw(), () => pick(troubles)());
+}
