Plan and placing agree on machines that a job has failed on

Ruled out: leadership and commits (term and stamps were steady). Conclusion: one predicate serves both.

--- a/src/core/capacity.ts
+++ b/src/core/capacity.ts
@@ -4,7 +4,7 @@
 import { log } from './fleet.js';
 import { waitingTasks } from './ledger.js';
 import { aimsLost, expectedRun, timeLeft, waitingJobs } from './queue.js';
-import { allows, fits, freeRoom, give, roomOf, take, type Need, type Room } from './room.js';
+import { allows, avoids, fits, freeRoom, give, roomOf, take, type Need, type Room } from './room.js';
 import type { CoreState, JobState, Machine, Now } from './state.js';
 import type { JobSpec, MachineType } from './types.js';
 
@@ -178,6 +178,7 @@
 function planTasks(
   plan: Plan,
   spec: JobSpec,
+  job: JobState | null,
   count: number,
   latest: number,
   choosy: boolean,
@@ -192,6 +193,7 @@
     for (const one of machines) {
       if (!allows(spec, one.type.name, one.zone, one.spot)) continue;
       if (choosy && plan.scarce.has(one.type.name)) continue;
+      if (job !== null && one.machine !== null && avoids(job, one.machine)) continue;
       const at = earliest(one, spec);
       if (at !== null && at < start) {
         best = one;
@@ -231,7 +233,7 @@
   const plan: Plan = { state, now, machines: planMachines(state, now), scarce, wanted: new Map() };
   for (const job of queue) {
     const choosy = onlyType(state, job.spec) === null;
-    planTasks(plan, job.spec, waitingTasks(job), latestStart(state, job, now), choosy, false);
+    planTasks(plan, job.spec, job, waitingTasks(job), latestStart(state, job, now), choosy, false);
   }
   for (const { spec, peak, current } of state.demand.values()) {
     const boot = Math.min(
@@ -240,7 +242,7 @@
     const wait = allowedWait(state, spec);
     if (wait > boot * 1000) continue;
     const ahead = Math.ceil(peak * state.rules.policy.headroom(spec)) - current;
-    planTasks(plan, spec, ahead, now.mono + wait, onlyType(state, spec) === null, true);
+    planTasks(plan, spec, null, ahead, now.mono + wait, onlyType(state, spec) === null, true);
   }
   state.inPlan.clear();
   for (const { machine, used } of plan.machines) if (machine !== null && used) state.inPlan.add(machine);
--- a/src/core/easy.ts
+++ b/src/core/easy.ts
@@ -6,7 +6,7 @@
 import { isUsable } from './fleet.js';
 import { claimTask, nextTask, waitingTasks } from './ledger.js';
 import { expectedRun, teamUse, waitingJobs } from './queue.js';
-import { allows, fetchTime, fits, freeRoom, give, take, type Need, type Room } from './room.js';
+import { allows, avoids, fetchTime, fits, freeRoom, give, take, type Need, type Room } from './room.js';
 import type { CoreState, Head, JobState, LiveClaim, Machine, Now } from './state.js';
 import type { JobSpec, MachineType } from './types.js';
 
@@ -159,7 +159,7 @@
     if (!fits(spec, free) || !allows(spec, machine.type, machine.zone, machine.spot) || !open(machine.zone)) {
       continue;
     }
-    if (job.failedOn.has(machine.name) && job.failedOn.size < 3) continue;
+    if (avoids(job, machine.name)) continue;
     const fetch = fetchTime(machine, type, spec);
     const end = spec.form === 'service' ? Infinity : now.mono + fetch + run;
     const hold = pass.head.get(site);
@@ -209,7 +209,10 @@
   const { state, now } = pass;
   const open = zoneRule(state, job);
   const able = sites.filter(
-    ({ machine }) => allows(job.spec, machine.type, machine.zone, machine.spot) && open(machine.zone),
+    ({ machine }) =>
+      allows(job.spec, machine.type, machine.zone, machine.spot) &&
+      !avoids(job, machine.name) &&
+      open(machine.zone),
   );
   if (!job.spec.oneZone) return findShadow(state, able, job.spec, together(job), now);
   let best: ReturnType<typeof findShadow> = null;
--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -2,6 +2,7 @@
 import type { Effect } from './effects.js';
 import { isDurable, recordStrayDone, releaseClaim } from './ledger.js';
 import { expectedRun } from './queue.js';
+import { isAtFault } from './room.js';
 import {
   isDone,
   isExitKept,
@@ -96,7 +97,7 @@
       job.errors += 1;
       // A job that fails on several machines is at fault itself: it is retried ever
       // more slowly, and the machines it fails on are not blamed.
-      if (job.failedOn.size >= 3) {
+      if (isAtFault(job)) {
         const wait = state.rules.timing.longestReport * 2 ** Math.min(8, job.failedOn.size + job.errors - 3);
         job.retryAt = now.mono + Math.min(wait, 30 * state.rules.timing.workerLease);
       } else {
--- a/src/core/room.ts
+++ b/src/core/room.ts
@@ -1,5 +1,5 @@
 /** Room on machines, counted per resource, and which machines a job allows. */
-import type { Machine } from './state.js';
+import type { JobState, Machine } from './state.js';
 import type { JobSpec, MachineType } from './types.js';
 
 const EPSILON = 1e-6;
@@ -47,6 +47,19 @@
   return (spec.imageGb / type.fetchGbPerS) * 1000;
 }
 
+/** A job that fails on so many machines is at fault itself, and may be tried anywhere. */
+const FAULTY_ANYWHERE = 3;
+
+export const isAtFault = (job: JobState): boolean => job.failedOn.size >= FAULTY_ANYWHERE;
+
+/**
+ * Whether a job has failed on a machine that may be to blame for it. Placing and
+ * planning must agree on this: a machine that the plan counts on and the placing
+ * avoids would keep the job waiting for ever.
+ */
+export const avoids = (job: JobState, machine: string): boolean =>
+  job.failedOn.has(machine) && !isAtFault(job);
+
 /** Whether a job's own wishes allow a kind of machine, apart from what its other tasks take. */
 export function allows(spec: JobSpec, type: string, zone: string, spot: boolean): boolean {
   return (
--- a/test/standins/world.ts
+++ b/test/standins/world.ts
@@ -237,6 +237,12 @@
       for (const host of hosts())
         if (host !== apart && draw() < 0.6) network.cut(apart, host, 25_000 * draw());
     },
+    () => {
+      // A leader that workers still reach, but not the state service nor its peers.
+      const apart = pick(NODES);
+      const until = 80_000 * draw();
+      for (const host of [...NODES, 'state', 'cloud']) if (host !== apart) network.cut(apart, host, until);
+    },
     () => (cloud.troubleUntil = clock.now + 15_000 * draw()),
   ];
   for (let i = 0; i < faults; i += 1) clock.in(5000 + lengthMs * 0.8 * draw(), () => pick(troubles)());
