Dear machines only for what would be late on cheap ones; headroom ends with arrivals

Cause: ordinary machines (2.6 to 3.3 times the price) kept getting short tasks, and headroom outlived its class.

--- a/src/core/capacity.ts
+++ b/src/core/capacity.ts
@@ -13,6 +13,8 @@
 const MOST_PLANNED = 2000;
 /** A machine is paid for at least so long, says the cloud's price list. */
 const LEAST_PAID_MS = 60_000;
+/** So many usual gaps without an arrival mean that a class has ended for now. */
+const ARRIVALS_OVER = 8;
 /** How much dearer a type seems to jobs with a choice while others can use nothing else. */
 const SCARCE_FACTOR = 4;
 
@@ -26,6 +28,9 @@
   readonly readyAt: number;
   readonly free: Room;
   readonly ends: { at: number; room: Room }[];
+  /** It runs something now. */
+  readonly busy: boolean;
+  /** The plan puts something on it. */
   used: boolean;
 }
 
@@ -76,21 +81,22 @@
       room: roomOf(claim.job.spec),
     }));
     ends.sort((a, b) => a.at - b.at);
-    const used = ends.length > 0;
-    planned.push({ machine: name, type, zone, spot, readyAt, free: freeRoom(machine, type), ends, used });
+    const free = freeRoom(machine, type);
+    const busy = ends.length > 0;
+    planned.push({ machine: name, type, zone, spot, readyAt, free, ends, busy, used: false });
   }
   for (const rental of state.rentals.values()) {
     const type = state.types.get(rental.type);
     if (type === undefined) continue;
     for (let i = 0; i < rental.count; i += 1) planned.push(newMachine(type, rental.zone, rental.spot, now));
   }
-  // Busy machines come first and dear ones last, so that dear idle ones fall out of use.
-  return planned.sort((a, b) => Number(b.used) - Number(a.used) || Number(b.spot) - Number(a.spot));
+  // Busy machines come first, so that idle ones fall out of use.
+  return planned.sort((a, b) => Number(b.busy) - Number(a.busy));
 }
 
 function newMachine(type: MachineType, zone: string, spot: boolean, now: Now): Planned {
   const readyAt = now.mono + type.bootS * 1000;
-  return { machine: null, type, zone, spot, readyAt, free: roomOf(type), ends: [], used: false };
+  return { machine: null, type, zone, spot, readyAt, free: roomOf(type), ends: [], busy: false, used: false };
 }
 
 /** Kinds of machine that may be asked for now, the cheapest room first. */
@@ -147,16 +153,17 @@
     if (job.over !== null || spec.form !== 'array') continue;
     current.set(spec.jobClass, (current.get(spec.jobClass) ?? 0) + spec.tasks - job.doneCount);
     const known = state.demand.get(spec.jobClass);
-    if (known === undefined || job.stamp > known.stamp) {
-      const peak = known?.peak ?? 0;
-      state.demand.set(spec.jobClass, {
-        stamp: job.stamp,
-        spec,
-        peak,
-        current: 0,
-        at: known?.at ?? now.mono,
-      });
-    }
+    if (known !== undefined && job.stamp <= known.stamp) continue;
+    const usual = known?.gap ?? state.rules.policy.headroomMemory / 8;
+    state.demand.set(spec.jobClass, {
+      stamp: job.stamp,
+      spec,
+      peak: known?.peak ?? 0,
+      current: 0,
+      at: known?.at ?? now.mono,
+      arrivedAt: now.mono,
+      gap: known === undefined ? usual : usual + (now.mono - known.arrivedAt - usual) / 8,
+    });
   }
   for (const [name, demand] of state.demand) {
     const memory = state.rules.policy.headroomMemory;
@@ -190,14 +197,18 @@
   for (let left = Math.min(count, MOST_PLANNED); left > 0; left -= 1) {
     let best: Planned | null = null;
     let start = Infinity;
-    for (const one of machines) {
-      if (!allows(spec, one.type.name, one.zone, one.spot)) continue;
-      if (choosy && plan.scarce.has(one.type.name)) continue;
-      if (job !== null && one.machine !== null && avoids(job, one.machine)) continue;
-      const at = earliest(one, spec);
-      if (at !== null && at < start) {
-        best = one;
-        start = at;
+    // Dear machines are for what would be too late on the cheap ones.
+    for (const spot of [true, false]) {
+      if (best !== null && start <= latest) break;
+      for (const one of machines) {
+        if (one.spot !== spot || !allows(spec, one.type.name, one.zone, spot)) continue;
+        if (choosy && plan.scarce.has(one.type.name)) continue;
+        if (job !== null && one.machine !== null && avoids(job, one.machine)) continue;
+        const at = earliest(one, spec);
+        if (at !== null && at < start) {
+          best = one;
+          start = at;
+        }
       }
     }
     if (kind !== undefined && start > latest && start > now.mono + kind.type.bootS * 1000) {
@@ -235,7 +246,9 @@
     const choosy = onlyType(state, job.spec) === null;
     planTasks(plan, job.spec, job, waitingTasks(job), latestStart(state, job, now), choosy, false);
   }
-  for (const { spec, peak, current } of state.demand.values()) {
+  for (const { spec, peak, current, arrivedAt, gap } of state.demand.values()) {
+    // None has come for long, by its own measure: no more are expected.
+    if (now.mono - arrivedAt > ARRIVALS_OVER * gap) continue;
     const boot = Math.min(
       ...[...state.types.values()].map((type) => (fits(spec, type) ? type.bootS : Infinity)),
     );
--- a/src/core/easy.ts
+++ b/src/core/easy.ts
@@ -12,7 +12,7 @@
 
 const EPSILON = 1e-6;
 /** What an ordinary machine costs a choice against a cheap one that fits as well. */
-const ORDINARY_PENALTY = 0.25;
+const ORDINARY_PENALTY = 1;
 
 /** A machine as the placing pass sees it. */
 interface Site {
@@ -246,6 +246,8 @@
   for (const machine of state.machines.values()) {
     const type = state.types.get(machine.type);
     if (type === undefined || !isUsable(state, machine, now)) continue;
+    // Dear machines run dry unless the plan still has a use for them.
+    if (!machine.spot && state.planAt > 0 && !state.inPlan.has(machine.name)) continue;
     largest = Math.max(largest, type.cpus);
     sites.push({ machine, type, free: freeRoom(machine, type) });
   }
--- a/src/core/state.ts
+++ b/src/core/state.ts
@@ -189,7 +189,7 @@
   /** Run time over estimate, by class, as completed tasks show it. */
   readonly runRatio: Map<string, number>;
   readonly demand: Map<string, Demand>;
-  /** Machines that the latest plan has a use for. */
+  /** Machines that the latest plan puts waiting tasks, or room kept ready, on. */
   readonly inPlan: Set<string>;
 }
 
@@ -201,6 +201,9 @@
   peak: number;
   current: number;
   at: number;
+  /** Steady time of its latest arrival, and the usual gap between two, in milliseconds. */
+  arrivedAt: number;
+  gap: number;
 }
 
 export interface CommitInFlight {
@@ -251,6 +254,7 @@
   state.head = null;
   state.demand.clear();
   state.inPlan.clear();
+  state.planAt = 0;
 }
 
 export function isDone(job: JobState, task: number): boolean {
--- a/src/core/step.ts
+++ b/src/core/step.ts
@@ -118,7 +118,9 @@
       }
       break;
     case 'jobAdded':
-      if (state.leadership !== null) addJob(state, command.job);
+      if (state.leadership === null) break;
+      addJob(state, command.job);
+      state.planAt = Math.min(state.planAt, now.mono);
       break;
     case 'jobRemoved':
       removeJob(state, command.id);
