--- a/src/core/capacity.ts
+++ b/src/core/capacity.ts
@@ -5,8 +5,9 @@
 import { waitingTasks } from './ledger.js';
 import { aimsLost, expectedRun, timeLeft, waitingJobs } from './queue.js';
 import { allows, avoids, fits, freeRoom, give, roomOf, take, type Need, type Room } from './room.js';
-import type { CoreState, JobState, Machine, Now } from './state.js';
+import type { CoreState, Demand, JobState, Machine, Now } from './state.js';
 import type { JobSpec, MachineType } from './types.js';
+import { MEMORY_KEY, TERM_KEY, type ClassMemory } from '../wire/records.js';
 
 const MOST_PER_RENTAL = 50;
 const MOST_RETURNED = 100;
@@ -173,6 +174,44 @@
   }
 }
 
+const MOST_CLASSES = 20;
+
+/** Keeps what was learned of the demand, so that the next leader need not learn it anew. */
+export function rememberDemand(state: CoreState, now: Now, effects: Effect[]): void {
+  const lead = state.leadership;
+  if (lead === null || now.mono < state.rememberAt) return;
+  state.rememberAt = now.mono + state.rules.timing.workerLease;
+  const classes: ClassMemory[] = [];
+  for (const [name, { spec, peak, gap }] of state.demand) {
+    if (classes.length < MOST_CLASSES)
+      classes.push({ spec, peak, gap, ratio: state.runRatio.get(name) ?? 1 });
+  }
+  if (classes.length === 0) return;
+  effects.push({
+    kind: 'remember',
+    txn: {
+      when: [{ key: TERM_KEY, stamp: lead.stamp }],
+      apply: [{ put: MEMORY_KEY, value: { classes } }],
+    },
+  });
+}
+
+export function recallDemand(state: CoreState, memory: readonly ClassMemory[], now: Now): void {
+  state.rememberAt = now.mono + state.rules.timing.workerLease;
+  for (const { spec, peak, gap, ratio } of memory) {
+    state.runRatio.set(spec.jobClass, ratio);
+    state.demand.set(spec.jobClass, {
+      stamp: 0,
+      spec,
+      peak,
+      gap,
+      current: 0,
+      at: now.mono,
+      arrivedAt: now.mono,
+    });
+  }
+}
+
 interface Plan {
   readonly state: CoreState;
   readonly now: Now;
@@ -182,18 +221,11 @@
 }
 
 /** Finds each task its earliest start, on one more machine if it would be too late otherwise. */
-function planTasks(
-  plan: Plan,
-  spec: JobSpec,
-  job: JobState | null,
-  count: number,
-  latest: number,
-  choosy: boolean,
-  cheap: boolean,
-): void {
+function planTasks(plan: Plan, job: JobState, count: number, latest: number, choosy: boolean): void {
   const { state, now, machines } = plan;
+  const { spec } = job;
   const run = spec.form === 'service' ? Infinity : expectedRun(state, spec);
-  const kind = kindsFor(state, spec, plan.scarce, choosy, now).find(({ spot }) => spot || !cheap);
+  const kind = kindsFor(state, spec, plan.scarce, choosy, now)[0];
   for (let left = Math.min(count, MOST_PLANNED); left > 0; left -= 1) {
     let best: Planned | null = null;
     let start = Infinity;
@@ -203,7 +235,7 @@
       for (const one of machines) {
         if (one.spot !== spot || !allows(spec, one.type.name, one.zone, spot)) continue;
         if (choosy && plan.scarce.has(one.type.name)) continue;
-        if (job !== null && one.machine !== null && avoids(job, one.machine)) continue;
+        if (one.machine !== null && avoids(job, one.machine)) continue;
         const at = earliest(one, spec);
         if (at !== null && at < start) {
           best = one;
@@ -212,10 +244,7 @@
       }
     }
     if (kind !== undefined && start > latest && start > now.mono + kind.type.bootS * 1000) {
-      const key = kindKey(kind.type.name, kind.zone, kind.spot);
-      const asked = plan.wanted.get(key) ?? { kind, count: 0 };
-      asked.count += 1;
-      plan.wanted.set(key, asked);
+      want(plan, kind, 1);
       best = newMachine(kind.type, kind.zone, kind.spot, now);
       start = best.readyAt;
       machines.push(best);
@@ -225,6 +254,63 @@
   }
 }
 
+/** How many tasks of a kind fit a room. */
+function slots(need: Need, room: Room): number {
+  const left = { ...room };
+  let count = 0;
+  while (count < MOST_PLANNED && fits(need, left)) {
+    take(left, need);
+    count += 1;
+  }
+  return count;
+}
+
+/**
+ * A class that cannot wait for a boot gets room for as many tasks at once as it lately
+ * had at the most. Its waiting tasks alone would not rent it: they get their turn before
+ * a machine could be up, late, and so would all that come after them.
+ */
+function keepReady(plan: Plan, demand: Demand): void {
+  const { state, now } = plan;
+  const { spec, peak, arrivedAt, gap } = demand;
+  // None has come for long, by its own measure: no more are expected.
+  if (now.mono - arrivedAt > ARRIVALS_OVER * gap) return;
+  const choosy = onlyType(state, spec) === null;
+  const kinds = kindsFor(state, spec, plan.scarce, choosy, now);
+  const wait = allowedWait(state, spec);
+  const boot = Math.min(
+    ...[...state.types.values()].map((type) => (fits(spec, type) ? type.bootS : Infinity)),
+  );
+  if (wait > boot * 1000) return;
+  let missing = Math.ceil(peak * state.rules.policy.headroom(spec));
+  for (const spot of [true, false]) {
+    for (const one of plan.machines) {
+      if (missing <= 0) return;
+      if (one.spot !== spot || !allows(spec, one.type.name, one.zone, spot)) continue;
+      if (choosy && plan.scarce.has(one.type.name)) continue;
+      const room = roomOf(one.type);
+      const machine = one.machine === null ? undefined : state.machines.get(one.machine);
+      for (const claim of machine?.claims.values() ?? []) {
+        const stays = expectedEnd(state, claim, now) > now.mono + wait;
+        if (stays && claim.job.spec.jobClass !== spec.jobClass) take(room, claim.job.spec);
+      }
+      const found = slots(spec, room);
+      if (found > 0) one.used = true;
+      missing -= found;
+    }
+  }
+  const kind = kinds.find(({ spot }) => spot);
+  if (kind === undefined) return;
+  want(plan, kind, Math.ceil(missing / Math.max(1, slots(spec, roomOf(kind.type)))));
+}
+
+function want(plan: Plan, kind: Kind, count: number): void {
+  const key = kindKey(kind.type.name, kind.zone, kind.spot);
+  const asked = plan.wanted.get(key) ?? { kind, count: 0 };
+  asked.count += count;
+  plan.wanted.set(key, asked);
+}
+
 /**
  * Plans the waiting tasks onto machines up and booting, and rents for those that would
  * start too late. Classes that cannot wait for a boot get room ahead of their arrival.
@@ -244,19 +330,9 @@
   const plan: Plan = { state, now, machines: planMachines(state, now), scarce, wanted: new Map() };
   for (const job of queue) {
     const choosy = onlyType(state, job.spec) === null;
-    planTasks(plan, job.spec, job, waitingTasks(job), latestStart(state, job, now), choosy, false);
-  }
-  for (const { spec, peak, current, arrivedAt, gap } of state.demand.values()) {
-    // None has come for long, by its own measure: no more are expected.
-    if (now.mono - arrivedAt > ARRIVALS_OVER * gap) continue;
-    const boot = Math.min(
-      ...[...state.types.values()].map((type) => (fits(spec, type) ? type.bootS : Infinity)),
-    );
-    const wait = allowedWait(state, spec);
-    if (wait > boot * 1000) continue;
-    const ahead = Math.ceil(peak * state.rules.policy.headroom(spec)) - current;
-    planTasks(plan, spec, null, ahead, now.mono + wait, onlyType(state, spec) === null, true);
+    planTasks(plan, job, waitingTasks(job), latestStart(state, job, now), choosy);
   }
+  for (const demand of state.demand.values()) keepReady(plan, demand);
   state.inPlan.clear();
   for (const { machine, used } of plan.machines) if (machine !== null && used) state.inPlan.add(machine);
   if (now.mono < state.rentNotBefore) return;
--- a/src/core/effects.ts
+++ b/src/core/effects.ts
@@ -1,4 +1,5 @@
 /** What goes into `step` and what comes out of it. */
+import type { ClassMemory } from '../wire/records.js';
 import type { Transaction } from '../wire/state.js';
 import type {
   Stamped,
@@ -39,7 +40,10 @@
       readonly provenAt: number;
       readonly jobs: readonly Stamped<JobSpec>[];
       readonly chunks: readonly LoadedChunk[];
+      readonly memory: readonly ClassMemory[];
     }
+  /** A deputy has heard these machines lately. */
+  | { readonly kind: 'relayed'; readonly machines: readonly string[] }
   | { readonly kind: 'resign'; readonly reason: string }
   | { readonly kind: 'tokenSeen'; readonly token: number }
   | { readonly kind: 'proof'; readonly sentAt: number }
@@ -83,6 +87,7 @@
       readonly count: number;
     }
   | { readonly kind: 'return'; readonly machines: readonly string[] }
+  | { readonly kind: 'remember'; readonly txn: Transaction }
   | { readonly kind: 'steppedDown'; readonly reason: string }
   | {
       readonly kind: 'log';
--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -29,6 +29,7 @@
     session: 0,
     seq: 0,
     heardAt: null,
+    relayedAt: null,
     knownAt: now.mono,
     whole: false,
     takenAt: null,
@@ -351,6 +352,7 @@
     const type = state.types.get(machine.type);
     const boot = (type?.bootS ?? 60) * 1000;
     if (machine.heardAt === null) {
+      if (machine.relayedAt !== null && now.mono - machine.relayedAt < timing.silence) continue;
       const expected = machine.listed === 'running' || machine.claims.size > 0;
       if (expected && now.mono - machine.knownAt > timing.silence) leave(machine, 'never heard');
       else if (now.mono - machine.rentedAt > 3 * boot && now.mono - machine.knownAt > timing.silence) {
@@ -358,7 +360,7 @@
       }
       continue;
     }
-    const silent = now.mono - machine.heardAt;
+    const silent = now.mono - Math.max(machine.heardAt, machine.relayedAt ?? 0);
     if (silent > timing.silence) leave(machine, 'silent');
     else if (silent > 0.5 * timing.silence) {
       for (const claim of machine.claims.values()) {
--- a/src/core/state.ts
+++ b/src/core/state.ts
@@ -119,6 +119,8 @@
   seq: number;
   /** Steady time of its last report; null before the first that this leader saw. */
   heardAt: number | null;
+  /** Steady time at which a deputy last told of it. */
+  relayedAt: number | null;
   /** Its silence counts from here when it was never heard. */
   knownAt: number;
   /** Its latest report carried this leader's token: the whole truth about it. */
@@ -185,6 +187,7 @@
   nextCommit: number;
   placeDirty: boolean;
   planAt: number;
+  rememberAt: number;
   head: Head | null;
   /** Run time over estimate, by class, as completed tasks show it. */
   readonly runRatio: Map<string, number>;
@@ -233,6 +236,7 @@
     nextCommit: 1,
     placeDirty: false,
     planAt: 0,
+    rememberAt: 0,
     head: null,
     runRatio: new Map(),
     demand: new Map(),
--- a/src/core/step.ts
+++ b/src/core/step.ts
@@ -1,5 +1,5 @@
 /** One batch of commands into the state, and the effects that follow. */
-import { giveBack, rent, settleRental } from './capacity.js';
+import { giveBack, recallDemand, rememberDemand, rent, settleRental } from './capacity.js';
 import { place } from './easy.js';
 import type { Command, Effect } from './effects.js';
 import {
@@ -93,6 +93,7 @@
       state.rentNotBefore = now.mono + 2 * state.rules.timing.longestReport;
       for (const job of command.jobs) addJob(state, job);
       for (const chunk of command.chunks) loadChunk(state, chunk, now, machineOf);
+      recallDemand(state, command.memory, now);
       state.placeDirty = true;
       log(effects, 'leading', {
         term: command.term,
@@ -142,6 +143,12 @@
     case 'rechecked':
       settleRecheck(state, command.found, now, effects);
       break;
+    case 'relayed':
+      for (const name of command.machines) {
+        const machine = state.machines.get(name);
+        if (machine !== undefined) machine.relayedAt = now.mono;
+      }
+      break;
     case 'catalog':
       state.types = new Map(command.types.map((type) => [type.name, type]));
       state.placeDirty = true;
@@ -199,6 +206,7 @@
       rent(state, now, effects);
     }
     giveBack(state, now, effects);
+    rememberDemand(state, now, effects);
   }
   return effects;
 }
--- /dev/null
+++ b/src/deputy.ts
@@ -0,0 +1,102 @@
+/**
+ * A follower that answers workers for a leader they cannot reach.
+ *
+ * While two zones cannot reach each other, workers of the zone without the leader would
+ * lose their leases and all their work. A follower beside them may keep them alive: an
+ * answer with the leader's token renews the lease, whoever sends it. A deputy never
+ * starts anything; it stops what has been cancelled, and answers only while its own
+ * view of the cancellations is fresh, under the same bound as a leader.
+ */
+import type { StateService } from './adapters/state.js';
+import type { Clock } from './clock.js';
+import type { Report, WorkerCommand } from './core/types.js';
+import type { Timing } from './settings.js';
+import { deputyKey, JOB_PREFIX, jobOfKey } from './wire/records.js';
+
+export class Deputy {
+  readonly #live = new Set<string>();
+  readonly #seen = new Map<string, number>();
+  #provenAt = -Infinity;
+  #usedAt = -Infinity;
+  #following = false;
+  #first: Promise<void> | null = null;
+
+  constructor(
+    private readonly node: string,
+    private readonly state: StateService,
+    private readonly clock: Clock,
+    private readonly timing: Timing,
+  ) {}
+
+  /** What to tell a worker, or null when this node may not answer it. */
+  async answer(report: Report): Promise<WorkerCommand[] | null> {
+    this.#usedAt = this.clock.mono();
+    if (!this.#following) {
+      this.#following = true;
+      this.#first = this.#load().then(() => {
+        void this.#follow();
+        void this.#tell();
+      });
+    }
+    await this.#first;
+    if (this.clock.mono() >= this.#provenAt + this.timing.authority) return null;
+    this.#seen.set(report.machine, this.clock.mono());
+    const commands: WorkerCommand[] = [];
+    for (const { job, task, attempt, stage } of report.tasks) {
+      if (stage !== 'exited' && !this.#live.has(job))
+        commands.push({ op: 'stop', job, task, attempt, graceS: 0 });
+    }
+    return commands;
+  }
+
+  #revision = 0;
+
+  async #load(): Promise<void> {
+    const sentAt = this.clock.mono();
+    const jobs = await this.state.list(JOB_PREFIX);
+    if (jobs === 'unknown') return;
+    this.#live.clear();
+    for (const { key } of jobs.entries) this.#live.add(jobOfKey(key));
+    this.#revision = jobs.revision;
+    this.#provenAt = sentAt;
+  }
+
+  async #follow(): Promise<void> {
+    while (this.clock.mono() - this.#usedAt < this.timing.workerLease) {
+      const sentAt = this.clock.mono();
+      const found =
+        this.#provenAt === -Infinity
+          ? 'unread'
+          : await this.state.watch(JOB_PREFIX, this.#revision, this.timing.watchWait);
+      if (found === 'unread' || found.kind === 'tooOld') await this.#load();
+      else if (found.kind === 'changes') {
+        for (const { key, value } of found.changes) {
+          if (value === undefined) this.#live.delete(jobOfKey(key));
+          else this.#live.add(jobOfKey(key));
+        }
+        this.#revision = found.revision;
+        this.#provenAt = sentAt;
+        continue;
+      }
+      await this.clock.sleep(this.timing.tick);
+    }
+    this.#following = false;
+    this.#provenAt = -Infinity;
+    this.#live.clear();
+    this.#seen.clear();
+  }
+
+  /** Tells the leader, by way of the state service, whose workers are alive here. */
+  async #tell(): Promise<void> {
+    while (this.#following) {
+      const now = this.clock.mono();
+      for (const [machine, at] of this.#seen)
+        if (now - at > 2 * this.timing.longestReport) this.#seen.delete(machine);
+      if (this.#seen.size > 0) {
+        const value = { machines: [...this.#seen.keys()] };
+        await this.state.commit({ when: [], apply: [{ put: deputyKey(this.node), value }] });
+      }
+      await this.clock.sleep(2 * this.timing.longestReport);
+    }
+  }
+}
--- a/src/node.ts
+++ b/src/node.ts
@@ -6,7 +6,8 @@
 import type { Clock } from './clock.js';
 import type { Effect, LoadedChunk, Recheck } from './core/effects.js';
 import { createState, type Rules } from './core/state.js';
-import type { EndedRecord, JobSpec, Stamped } from './core/types.js';
+import type { EndedRecord, JobSpec, Report, Stamped } from './core/types.js';
+import { Deputy } from './deputy.js';
 import { Election, type Elected } from './election.js';
 import type { Log } from './logging.js';
 import { Owner } from './owner.js';
@@ -15,12 +16,16 @@
 import type { JobCount, PeerStatus } from './wire/peers.js';
 import {
   decodeChunk,
+  decodeDeputy,
   decodeEnded,
   decodeJob,
+  decodeMemory,
+  DEPUTY_PREFIX,
   endedKey,
   JOB_PREFIX,
   jobKey,
   jobOfKey,
+  MEMORY_KEY,
   parseChunkKey,
   RUN_PREFIX,
 } from './wire/records.js';
@@ -30,6 +35,7 @@
 /** Bytes that one task may take in a chunk, generously. */
 const BYTES_PER_TASK = 64;
 const MOST_COUNTS = 500;
+const MOST_REDIRECTED = 5000;
 
 export function rulesFor(settings: PlatformSettings): Rules {
   const { cluster } = settings;
@@ -96,6 +102,8 @@
   readonly #replies = new Map<number, (status: number, body: string) => void>();
   readonly #counts = new Map<string, JobCount>();
   readonly #heard = new Map<string, HeardStatus>();
+  readonly #redirected = new Map<string, number>();
+  readonly #deputy: Deputy;
   #nextReply = 1;
   #leader: string | null = null;
   #highestTerm = 0;
@@ -112,6 +120,7 @@
     this.#cloud = ports.cloud;
     this.#clock = clock;
     this.#log = log;
+    this.#deputy = new Deputy(settings.host_name, state, clock, this.#timing);
     const rules = rulesFor(settings);
     this.#owner = new Owner(createState(settings.host_name, rules), clock, log, (effect) =>
       this.#carryOut(effect),
@@ -142,6 +151,7 @@
     void this.#keepCatalog();
     void this.#keepList();
     void this.#keepTicking();
+    void this.#keepRelays();
     this.#log.info({ node: this.settings.host_name, incarnation: this.ports.incarnation }, 'started');
   }
 
@@ -228,7 +238,7 @@
       return;
     }
     if (this.#owner.state.leadership === null) {
-      done(421, encodeRedirect(this.#leader === this.settings.host_name ? null : this.#leader));
+      this.#redirect(report, done);
       return;
     }
     const reply = this.#nextReply++;
@@ -236,6 +246,56 @@
     this.#owner.push({ kind: 'report', reply, report });
   }
 
+  /** Sends a worker to the leader, or stands in for a leader that it cannot reach. */
+  #redirect(report: Report, done: (status: number, body: string) => void): void {
+    const leader = this.#leader === this.settings.host_name ? null : this.#leader;
+    const now = this.#clock.mono();
+    const heard = leader === null ? undefined : this.#heard.get(leader);
+    const reachable = heard !== undefined && now - heard.at < this.#timing.longestReport;
+    const sent = this.#redirected.get(report.machine);
+    // Back so soon: it has tried the leader in vain, even if this node hears it.
+    const inVain =
+      sent !== undefined &&
+      now - sent < this.#timing.workerLease &&
+      now - sent > 2 * this.#timing.longestReport;
+    const token = this.#highestTerm;
+    if (leader === null || token === 0 || report.token > token || (reachable && !inVain)) {
+      if (this.#redirected.size > MOST_REDIRECTED) this.#redirected.clear();
+      if (leader !== null && (sent === undefined || now - sent > 2 * this.#timing.longestReport))
+        this.#redirected.set(report.machine, now);
+      done(421, encodeRedirect(leader));
+      return;
+    }
+    void this.#deputy.answer(report).then((commands) => {
+      if (commands === null || this.#owner.state.leadership !== null || token !== this.#highestTerm)
+        done(503, '{}');
+      else done(200, encodeReply(token, commands));
+    });
+  }
+
+  /** Reads, while some machine is silent, which of them deputies hear. */
+  async #keepRelays(): Promise<void> {
+    const stamps = new Map<string, number>();
+    for (;;) {
+      await this.#clock.sleep(2 * this.#timing.longestReport);
+      const { leadership, machines } = this.#owner.state;
+      if (leadership === null) continue;
+      const now = this.#clock.mono();
+      const silent = [...machines.values()].some(
+        ({ heardAt, knownAt }) => now - (heardAt ?? knownAt) > 2 * this.#timing.longestReport,
+      );
+      if (!silent) continue;
+      const found = await this.#state.list(DEPUTY_PREFIX);
+      if (found === 'unknown') continue;
+      for (const { key, value, stamp } of found.entries) {
+        // Only what was written since the last look tells of the present.
+        const fresh = stamps.has(key) && stamps.get(key) !== stamp;
+        stamps.set(key, stamp);
+        if (fresh) this.#owner.push({ kind: 'relayed', machines: decodeDeputy(value) });
+      }
+    }
+  }
+
   #carryOut(effect: Effect): void {
     switch (effect.kind) {
       case 'reply': {
@@ -275,6 +335,9 @@
           this.#owner.push({ kind: 'returned', machines: effect.machines, ok });
         });
         break;
+      case 'remember':
+        void this.#state.commit(effect.txn);
+        break;
       case 'steppedDown':
         this.#log.info({ reason: effect.reason }, 'stepped down');
         this.#leader = null;
@@ -320,9 +383,13 @@
     this.#log.info({ term: won.term }, 'elected');
     for (;;) {
       const sentAt = this.#clock.mono();
-      const [jobs, runs] = await Promise.all([this.#state.list(JOB_PREFIX), this.#state.list(RUN_PREFIX)]);
+      const [jobs, runs, memory] = await Promise.all([
+        this.#state.list(JOB_PREFIX),
+        this.#state.list(RUN_PREFIX),
+        this.#state.read(MEMORY_KEY),
+      ]);
       if (this.#leadingTerm !== won.term || this.#highestTerm > won.term) return;
-      if (jobs === 'unknown' || runs === 'unknown') {
+      if (jobs === 'unknown' || runs === 'unknown' || memory === 'unknown') {
         await this.#clock.sleep(this.#timing.tick);
         continue;
       }
@@ -340,6 +407,7 @@
         provenAt: sentAt,
         jobs: decodeJobs(jobs.entries),
         chunks,
+        memory: decodeMemory(memory.entry?.value),
       });
       await this.#follow(term, jobs.revision);
       return;
--- a/src/wire/records.ts
+++ b/src/wire/records.ts
@@ -1,11 +1,21 @@
 /** What the service itself keeps in the state service: keys and values. */
 import type { ChunkRecord, Claim, EndedRecord, JobSpec } from '../core/types.js';
-import { asObject, isCount, isText } from './json.js';
+import { asObject, isAmount, isCount, isText } from './json.js';
 
 export const JOB_PREFIX = 'job/';
 export const RUN_PREFIX = 'run/';
 export const TERM_KEY = 'term';
 export const LEADER_KEY = 'leader';
+/** What a leader has learned of the demand, for the next one. */
+export const MEMORY_KEY = 'memory';
+export const DEPUTY_PREFIX = 'deputy/';
+
+export const deputyKey = (node: string): string => DEPUTY_PREFIX + node;
+
+export function decodeDeputy(value: unknown): string[] {
+  const machines = asObject(value)?.['machines'];
+  return Array.isArray(machines) ? machines.filter(isText) : [];
+}
 
 export const jobKey = (id: string): string => JOB_PREFIX + id;
 export const endedKey = (id: string): string => `ended/${id}`;
@@ -72,6 +82,29 @@
   return { stage: raw['stage'], tasks: number('tasks'), done: number('done') };
 }
 
+/** What one class has shown of itself. */
+export interface ClassMemory {
+  readonly spec: JobSpec;
+  readonly peak: number;
+  readonly gap: number;
+  readonly ratio: number;
+}
+
+export function decodeMemory(value: unknown): ClassMemory[] {
+  const classes = asObject(value)?.['classes'];
+  if (!Array.isArray(classes)) return [];
+  return (classes as unknown[]).filter((entry): entry is ClassMemory => {
+    const raw = asObject(entry);
+    return (
+      raw !== null &&
+      decodeJob(raw['spec']) !== null &&
+      isAmount(raw['peak']) &&
+      isAmount(raw['gap']) &&
+      isAmount(raw['ratio'])
+    );
+  });
+}
+
 export interface TermRecord {
   readonly term: number;
 }
