--- a/test/easy.test.ts
+++ b/test/easy.test.ts
@@ -1,5 +1,7 @@
+/** The paper's rule, as traces kept beside: commands in (>), effects out (<). */
 import { expect, test } from 'vitest';
 import { mayBackfill } from '../src/core/easy.js';
+import { CoreBench, job, report, task } from './standins/core.js';
 
 const room = (cpus: number) => ({ cpus, gpus: 0, memoryGb: cpus });
 
@@ -11,3 +13,118 @@
   expect(mayBackfill({ shadow: 100, extra: room(4) }, room(4), 500)).toBe(true);
   expect(mayBackfill({ shadow: 100, extra: room(4) }, room(5), 101)).toBe(false);
 });
+
+/** One machine of 8 cpus, 4 of them taken for 100 s; the head wants 6 and is blocked until then. */
+function blockedHead(): CoreBench {
+  const bench = new CoreBench();
+  bench.hear(report('m', 1));
+  bench.add(job('req-1', 1, 4, 100));
+  bench.hear(report('m', 2));
+  bench.hear(report('m', 3, [task('req-1/0', 1, 'running')]));
+  bench.add(job('req-2', 1, 6, 50));
+  expect(bench.state.head).toMatchObject({ job: 'req-2', machines: ['m'] });
+  return bench;
+}
+
+test('backfilling: short enough for the shadow time, or small enough for the extra room', async () => {
+  const bench = blockedHead();
+  const running = [task('req-1/0', 1, 'running')];
+  bench.add(job('req-3', 1, 4, 500)); // neither: 4 cpus past the shadow, extra is 2
+  bench.add(job('req-4', 1, 2, 500)); // fits the extra room
+  bench.add(job('req-5', 1, 2, 60)); // ends by the shadow time
+  const started = CoreBench.starts(bench.hear(report('m', 4, running)));
+  expect(started).toEqual(['req-4/0#1', 'req-5/0#1']);
+  await bench.keep('backfill');
+});
+
+test('extra room is used up: a second long task that would fit it alone must wait', async () => {
+  const bench = blockedHead();
+  const running = [task('req-1/0', 1, 'running')];
+  bench.add(job('req-3', 1, 2, 500));
+  bench.add(job('req-4', 1, 2, 500));
+  expect(CoreBench.starts(bench.hear(report('m', 4, running)))).toEqual(['req-3/0#1']);
+  await bench.keep('extra-room');
+});
+
+test('an early end lets the head start at once, ahead of what stands behind it', async () => {
+  const bench = blockedHead();
+  bench.add(job('req-3', 1, 4, 500));
+  bench.now += 10_000;
+  const effects = bench.hear(report('m', 4, [task('req-1/0', 1, 'exited', 'done')]));
+  expect(CoreBench.starts(effects)).toEqual(['req-2/0#1']);
+  await bench.keep('early-end');
+});
+
+test('only the head is protected: the second job may be passed again and again', async () => {
+  const bench = blockedHead();
+  bench.add(job('req-3', 1, 8, 50)); // the second, wants the whole machine
+  bench.add(job('req-4', 1, 2, 400)); // delays req-3, but not req-2
+  const started = CoreBench.starts(bench.hear(report('m', 4, [task('req-1/0', 1, 'running')])));
+  expect(started).toEqual(['req-4/0#1']);
+  await bench.keep('second-job');
+});
+
+test('an overrunning task goes on, and is expected to end an allowance from now', () => {
+  const bench = blockedHead();
+  const before = bench.state.head?.shadow ?? 0;
+  bench.now += 150_000;
+  bench.state.placeDirty = true;
+  bench.state.leadership = {
+    ...(bench.state.leadership ?? { term: 5, stamp: 100, since: 0 }),
+    authorityUntil: Infinity,
+  };
+  bench.hear(report('m', 4, [task('req-1/0', 1, 'running')]));
+  bench.do({ kind: 'tick' });
+  expect(bench.state.head?.shadow).toBe(bench.now + bench.state.rules.timing.workerLease);
+  expect(before).toBeLessThan(bench.now);
+});
+
+test('a head that never fits gets no shadow time and holds nobody up', async () => {
+  const bench = new CoreBench();
+  bench.hear(report('m', 1));
+  bench.add(job('req-1', 1, 8, 50, { zone: 'elsewhere' }));
+  bench.add(job('req-2', 1, 8, 5000));
+  const started = CoreBench.starts(bench.hear(report('m', 2)));
+  expect(started).toEqual(['req-2/0#1']);
+  await bench.keep('never-fits');
+});
+
+test('a service counts as never ending: nobody is promised its room', () => {
+  const bench = new CoreBench();
+  bench.hear(report('m', 1));
+  bench.add(job('req-1', 1, 6, 0, { form: 'service' }));
+  bench.hear(report('m', 2));
+  bench.add(job('req-2', 1, 4, 50));
+  expect(bench.state.head).toMatchObject({ job: 'req-2', shadow: null });
+});
+
+test('a gang starts whole or not at all', () => {
+  const bench = new CoreBench();
+  bench.hear(report('m', 1));
+  bench.add(job('req-1', 3, 4, 50, { form: 'gang' }));
+  expect(CoreBench.starts(bench.hear(report('m', 2)))).toEqual([]);
+  bench.hear(report('n', 1));
+  const both = [...bench.hear(report('m', 3)), ...bench.hear(report('n', 2))];
+  expect(CoreBench.starts(both).sort()).toEqual(['req-1/0#1', 'req-1/1#1', 'req-1/2#1']);
+});
+
+test('jobs of a team at its limit are skipped, and count until proven gone', () => {
+  const bench = new CoreBench(6);
+  bench.hear(report('m', 1));
+  bench.add(job('req-1', 1, 4, 50));
+  bench.add(job('req-2', 1, 4, 50));
+  expect(CoreBench.starts(bench.hear(report('m', 2)))).toEqual(['req-1/0#1']);
+  bench.do({ kind: 'jobRemoved', id: 'req-1' });
+  // Cancelled, but still on its machine.
+  expect(CoreBench.starts(bench.hear(report('m', 3, [task('req-1/0', 1, 'running')])))).toEqual([]);
+  const after = bench.hear(report('m', 4, [task('req-1/0', 1, 'exited', 'stopped')]));
+  expect(CoreBench.starts(after)).toEqual(['req-2/0#1']);
+});
+
+test('a job that can no longer be in time stands behind one that can', () => {
+  const bench = new CoreBench();
+  bench.add(job('req-1', 1, 8, 50, { deadlineS: 60, submittedAt: bench.now - 50_000 }));
+  bench.add(job('req-2', 1, 8, 50, { deadlineS: 100, submittedAt: bench.now }));
+  bench.hear(report('m', 1));
+  expect(CoreBench.starts(bench.hear(report('m', 2)))).toEqual(['req-2/0#1']);
+});
--- /dev/null
+++ b/test/guards.test.ts
@@ -0,0 +1,254 @@
+/** One test for each guard that docs/safety.md argues with; each fails when its guard is taken out. */
+import { expect, test } from 'vitest';
+import type { Transaction } from '../src/wire/state.js';
+import type { Effect } from '../src/core/effects.js';
+import { VirtualClock } from './standins/clock.js';
+import { CoreBench, job, report, task, TERM } from './standins/core.js';
+import { Network } from './standins/network.js';
+import { StateStandin } from './standins/state.js';
+import { seeded } from './standins/world.js';
+
+const commitOf = (effects: readonly Effect[]): { id: number; txn: Transaction } => {
+  const commit = effects.find((effect) => effect.kind === 'commit');
+  if (commit?.kind !== 'commit') throw new Error('no commit');
+  return commit;
+};
+const kinds = (effects: readonly Effect[]): string[] => effects.map(({ kind }) => kind);
+
+/** The state service with a term and a job in it, their stamps as the core knows them. */
+function stateService(termStamp: number): StateStandin {
+  const state = new StateStandin(new Network(new VirtualClock(), seeded(1)));
+  state.revision = termStamp - 1;
+  state.commit({ when: [], apply: [{ put: 'term', value: { term: TERM } }] });
+  state.commit({ when: [], apply: [{ put: 'job/req-1', value: { id: 'req-1', tasks: 1 } }] });
+  return state;
+}
+
+/** A leader that has just put req-1/0 on a machine, its commit on the way. */
+function claimed(): { bench: CoreBench; commit: { id: number; txn: Transaction } } {
+  const bench = new CoreBench();
+  bench.hear(report('m', 1));
+  const added = bench.raw({ kind: 'jobAdded', job: { value: job('req-1', 1, 4, 50), stamp: 101 } });
+  return { bench, commit: commitOf(added) };
+}
+
+test('term: what an earlier leader has sent fails once a later one is elected', () => {
+  const { commit } = claimed();
+  const state = stateService(100);
+  state.commit({ when: [], apply: [{ put: 'term', value: { term: TERM + 1 } }] });
+  expect(state.commit(commit.txn)).toEqual({ kind: 'failed', keys: ['term'] });
+});
+
+test('term: a leader whose commit fails for its term steps down', () => {
+  const { bench, commit } = claimed();
+  const effects = bench.raw({
+    kind: 'committed',
+    id: commit.id,
+    outcome: { kind: 'failed', keys: ['term'] },
+  });
+  expect(kinds(effects)).toContain('steppedDown');
+});
+
+test('cancellation: a start that is committed after it fails, and is never sent', () => {
+  const { bench, commit } = claimed();
+  const state = stateService(100);
+  state.commit({
+    when: [],
+    apply: [{ remove: 'job/req-1' }, { put: 'ended/req-1', value: { stage: 'withdrawn' } }],
+  });
+  const outcome = state.commit(commit.txn);
+  expect(outcome).toEqual({ kind: 'failed', keys: ['job/req-1'] });
+  bench.raw({ kind: 'committed', id: commit.id, outcome: { kind: 'failed', keys: ['job/req-1'] } });
+  bench.raw({
+    kind: 'rechecked',
+    found: {
+      jobs: new Map([['req-1', { live: false, ended: { stage: 'withdrawn', tasks: 1, done: 0 } }]]),
+      chunks: new Map(),
+    },
+  });
+  expect(CoreBench.starts(bench.hear(report('m', 2)))).toEqual([]);
+});
+
+test('late transactions: one without an answer and its successor are never both applied', () => {
+  const { bench, commit: lost } = claimed();
+  const state = stateService(100);
+  expect(kinds(bench.raw({ kind: 'committed', id: lost.id, outcome: { kind: 'unknown' } }))).toContain(
+    'recheck',
+  );
+  const again = commitOf(
+    bench.raw({
+      kind: 'rechecked',
+      found: { jobs: new Map([['req-1', { live: true, ended: null }]]), chunks: new Map() },
+    }),
+  );
+  expect(state.commit(again.txn).kind).toBe('applied');
+  expect(state.commit(lost.txn).kind).toBe('failed');
+});
+
+test('write before start: nothing is sent before its commit is known', () => {
+  const { bench, commit } = claimed();
+  expect(CoreBench.starts(bench.raw({ kind: 'report', reply: 7, report: report('m', 2) }))).toEqual([]);
+  bench.now += 1000;
+  expect(CoreBench.starts(bench.raw({ kind: 'tick' }))).toEqual([]); // answered, but without the start
+  bench.raw({ kind: 'committed', id: commit.id, outcome: { kind: 'applied', revision: 102 } });
+  expect(CoreBench.starts(bench.raw({ kind: 'report', reply: 8, report: report('m', 3) }))).toEqual([
+    'req-1/0#1',
+  ]);
+});
+
+test('direct commands never carry a start', () => {
+  const { bench } = claimed();
+  bench.hear(report('other', 1, [], { token: TERM - 1 }));
+  bench.now += 5000;
+  const direct = bench.raw({ kind: 'tick' }).filter((effect) => effect.kind === 'direct');
+  expect(direct).toHaveLength(1);
+  expect(direct[0]).toMatchObject({ commands: [] });
+});
+
+/** req-1/0 runs on machine m. */
+function runningOn(): CoreBench {
+  const bench = new CoreBench();
+  bench.hear(report('m', 1));
+  bench.add(job('req-1', 1, 4, 50));
+  bench.hear(report('m', 2));
+  bench.hear(report('m', 3, [task('req-1/0', 1, 'running')]));
+  bench.hear(report('n', 1));
+  return bench;
+}
+const isFree = (bench: CoreBench): boolean => bench.state.jobs.get('req-1')?.claims.get(0)?.machine !== 'm';
+
+test('proof: a report that has not seen our token does not free a task', () => {
+  const bench = runningOn();
+  bench.hear(report('m', 4, [], { token: TERM - 1 }));
+  expect(isFree(bench)).toBe(false);
+});
+
+test('proof: an older report that arrives late changes nothing', () => {
+  const bench = runningOn();
+  expect(kinds(bench.hear(report('m', 2)))).toEqual(['reply']);
+  expect(isFree(bench)).toBe(false);
+});
+
+test('proof: the answer to a direct command does not free a task', () => {
+  const bench = runningOn();
+  bench.do({ kind: 'direct', report: report('m', 9) });
+  expect(isFree(bench)).toBe(false);
+});
+
+test('proof: silence frees nothing; the machine is given back, and the confirmation frees it', async () => {
+  const bench = runningOn();
+  bench.now += 12_000;
+  bench.hear(report('n', 2));
+  const effects = bench.do({ kind: 'tick' });
+  expect(effects).toContainEqual({ kind: 'return', machines: ['m'] });
+  expect(isFree(bench)).toBe(false);
+  bench.do({ kind: 'returned', machines: ['m'], ok: true });
+  expect(isFree(bench)).toBe(true);
+  await bench.keep('silent-machine');
+});
+
+test('proof: a failed return frees nothing and is tried again', () => {
+  const bench = runningOn();
+  bench.now += 12_000;
+  bench.do({ kind: 'tick' });
+  bench.do({ kind: 'returned', machines: ['m'], ok: false });
+  expect(isFree(bench)).toBe(false);
+  expect(bench.do({ kind: 'tick' })).toContainEqual({ kind: 'return', machines: ['m'] });
+});
+
+test('proof: a new session, or a newer report with our token, frees what it lacks', () => {
+  const bench = runningOn();
+  bench.hear(report('m', 1, [], { session: 2, token: 0 }));
+  expect(isFree(bench) || bench.state.jobs.get('req-1')?.claims.get(0)?.session === 2).toBe(true);
+  const other = runningOn();
+  other.hear(report('m', 4));
+  expect(other.state.jobs.get('req-1')?.attempts.get(0)).toBe(2);
+});
+
+test('authority: past its window a leader answers 503, and a fresh read renews it', () => {
+  const bench = runningOn();
+  const { authority } = bench.state.rules.timing;
+  bench.now = 100_000 + authority + 1;
+  expect(bench.hear(report('m', 4))).toContainEqual({ kind: 'reply', reply: 5, body: { kind: 'unable' } });
+  bench.do({ kind: 'proof', sentAt: bench.now });
+  expect(bench.hear(report('m', 5))).toContainEqual(
+    expect.objectContaining({
+      kind: 'reply',
+      body: expect.objectContaining({ kind: 'commands' }) as unknown,
+    }),
+  );
+});
+
+test('authority: the window ends early enough for every lease to run out within cancel_s', () => {
+  const { timing } = new CoreBench().state.rules;
+  expect(timing.authority + timing.workerLease).toBeLessThan(timing.cancel);
+});
+
+test('a higher token seen by a worker, or told by a peer, ends the leadership at once', () => {
+  const seen = runningOn();
+  expect(kinds(seen.hear(report('m', 4, [], { token: TERM + 1 })))).toEqual(['steppedDown', 'reply']);
+  const told = runningOn();
+  expect(kinds(told.do({ kind: 'tokenSeen', token: TERM + 1 }))).toContain('steppedDown');
+});
+
+test('completion: an exit is committed before the worker may forget it', () => {
+  const bench = runningOn();
+  const exited = report('m', 4, [task('req-1/0', 1, 'exited', 'done')]);
+  const effects = bench.raw({ kind: 'report', reply: 50, report: exited });
+  expect(kinds(effects)).not.toContain('reply');
+  const commit = commitOf(effects);
+  expect(commit.txn.apply).toContainEqual(expect.objectContaining({ put: 'ended/req-1' }));
+  const after = bench.raw({ kind: 'committed', id: commit.id, outcome: { kind: 'applied', revision: 999 } });
+  expect(after).toContainEqual({
+    kind: 'reply',
+    reply: 50,
+    body: { kind: 'commands', token: TERM, commands: [{ op: 'forget', job: 'req-1', task: 0, attempt: 1 }] },
+  });
+});
+
+test('a cancelled task is stopped, and its record stays until it is gone', async () => {
+  const bench = runningOn();
+  bench.do({ kind: 'jobRemoved', id: 'req-1' });
+  bench.hear(report('m', 4, [task('req-1/0', 1, 'running')]));
+  bench.hear(report('m', 5, [task('req-1/0', 1, 'exited', 'stopped')]));
+  bench.hear(report('m', 6));
+  expect(bench.state.jobs.size).toBe(0);
+  await bench.keep('cancelled');
+});
+
+test('a new leader starts nothing anew that an earlier one may have started', () => {
+  const bench = new CoreBench();
+  const record = {
+    team: 'crew',
+    cpus: 4,
+    gpus: 0,
+    memoryGb: 1,
+    done: '',
+    attempts: {},
+    claims: { 0: { attempt: 3, machine: 'm', session: 1, madeAt: bench.now } },
+  };
+  bench.do({
+    kind: 'lead',
+    term: TERM,
+    stamp: 100,
+    provenAt: bench.now,
+    memory: [],
+    jobs: [{ value: job('req-1', 1, 4, 50), stamp: 50 }],
+    chunks: [{ job: 'req-1', chunk: 0, record: { value: record, stamp: 60 } }],
+  });
+  bench.now += 3000;
+  // Another machine has room, but the task may be on m: it stays put, with its attempt.
+  expect(CoreBench.starts(bench.hear(report('n', 1)))).toEqual([]);
+  expect(CoreBench.starts(bench.hear(report('m', 1, [], { token: TERM - 1 })))).toEqual([]);
+  expect(CoreBench.starts(bench.hear(report('m', 2)))).toEqual(['req-1/0#3']);
+});
+
+test('a job that failed on the only machine gets another one', () => {
+  // Placing avoided the machine while the plan counted on it: the job waited for ever.
+  const bench = runningOn();
+  bench.do({ kind: 'returned', machines: ['n'], ok: true });
+  bench.hear(report('m', 4, [task('req-1/0', 1, 'exited', 'error')]));
+  bench.now += 2000;
+  bench.hear(report('m', 5));
+  expect(kinds(bench.do({ kind: 'tick' }))).toContain('rent');
+});
--- /dev/null
+++ b/test/standins/core.ts
@@ -0,0 +1,203 @@
+/** A leader's core alone, driven by hand, that writes down what goes in and what comes out. */
+import { expect } from 'vitest';
+import type { Command, Effect } from '../../src/core/effects.js';
+import { createState, type CoreState } from '../../src/core/state.js';
+import { step } from '../../src/core/step.js';
+import type { JobSpec, MachineType, Report, ReportedTask } from '../../src/core/types.js';
+import { rulesFor } from '../../src/node.js';
+import { testSettings } from './world.js';
+
+export const TERM = 5;
+const TERM_STAMP = 100;
+
+export const EIGHT: MachineType = {
+  name: 'eight',
+  cpus: 8,
+  gpus: 0,
+  memoryGb: 64,
+  cacheGb: 50,
+  fetchGbPerS: 1,
+  price: 2,
+  spotPrice: 1,
+  bootS: 30,
+  zones: ['a'],
+};
+
+export function job(
+  id: string,
+  tasks: number,
+  cpus: number,
+  estimateS: number,
+  more: Partial<JobSpec> = {},
+): JobSpec {
+  return {
+    id,
+    jobClass: 'class',
+    team: 'crew',
+    form: 'array',
+    priority: 2,
+    tasks,
+    cpus,
+    gpus: 0,
+    memoryGb: 1,
+    image: 'img',
+    imageGb: 0,
+    types: null,
+    zone: null,
+    oneZone: false,
+    spread: false,
+    spot: true,
+    estimateS,
+    checkpointS: 0,
+    saveS: 0,
+    deadlineS: null,
+    submittedAt: 0,
+    ...more,
+  };
+}
+
+export function report(
+  machine: string,
+  seq: number,
+  tasks: readonly ReportedTask[] = [],
+  more: Partial<Report> = {},
+): Report {
+  return {
+    machine,
+    address: '10.0.0.9:1',
+    type: 'eight',
+    zone: 'a',
+    spot: true,
+    session: 1,
+    seq,
+    token: TERM,
+    noticeS: null,
+    tasks,
+    ...more,
+  };
+}
+
+export function task(
+  name: string,
+  attempt: number,
+  stage: ReportedTask['stage'],
+  exit: ReportedTask['exit'] = null,
+): ReportedTask {
+  const [id, index] = name.split('/');
+  return { job: id ?? '', task: Number(index), attempt, stage, exit };
+}
+
+function tellTask({ job, task, attempt, stage, exit }: ReportedTask): string {
+  return `${job}/${task}#${attempt} ${stage}${exit === null ? '' : ` ${exit}`}`;
+}
+
+function tellCommand(command: Command): string | null {
+  switch (command.kind) {
+    case 'report':
+      return `report of ${command.report.machine} (session ${command.report.session}, token ${command.report.token}): ${command.report.tasks.map(tellTask).join(', ') || 'no tasks'}`;
+    case 'jobAdded': {
+      const { id, tasks, cpus, estimateS } = command.job.value;
+      return `job ${id}: ${tasks} tasks of ${cpus} cpus, estimated ${estimateS} s`;
+    }
+    case 'jobRemoved':
+      return `job ${command.id} is withdrawn`;
+    case 'committed':
+      return `commit ${command.outcome.kind}`;
+    case 'returned':
+      return `the cloud confirms the return of ${command.machines.join(', ')}`;
+    default:
+      return null;
+  }
+}
+
+function tellEffect(effect: Effect): string | null {
+  switch (effect.kind) {
+    case 'commit':
+      return `commit ${effect.txn.apply.map((write) => ('put' in write ? `put ${write.put}` : `remove ${write.remove}`)).join(', ')} when ${effect.txn.when.map(({ key, stamp }) => `${key}@${stamp}`).join(' ')}`;
+    case 'reply':
+      return effect.body.kind === 'unable'
+        ? 'answer 503'
+        : `answer: ${effect.body.commands.map(({ op, job, task, attempt }) => `${op} ${job}/${task}#${attempt}`).join(', ') || 'nothing to do'}`;
+    case 'return':
+      return `give back ${effect.machines.join(', ')}`;
+    case 'steppedDown':
+      return `step down: ${effect.reason}`;
+    case 'recheck':
+      return `read again ${[...effect.jobs, ...effect.chunks].join(', ')}`;
+    default:
+      return null;
+  }
+}
+
+export class CoreBench {
+  readonly state: CoreState;
+  readonly lines: string[] = [];
+  now = 100_000;
+  #stamp = TERM_STAMP;
+  #reply = 0;
+
+  constructor(cpusMax = 0) {
+    this.state = createState('n-0', rulesFor(testSettings(0, cpusMax)));
+    step(this.state, [{ kind: 'catalog', types: [EIGHT] }], this.time());
+    step(
+      this.state,
+      [{ kind: 'lead', term: TERM, stamp: TERM_STAMP, provenAt: this.now, jobs: [], chunks: [], memory: [] }],
+      this.time(),
+    );
+    this.now += 2000;
+  }
+
+  time(): { mono: number; wall: number } {
+    return { mono: this.now, wall: this.now };
+  }
+
+  /** One batch; commits are not answered. */
+  raw(...commands: Command[]): Effect[] {
+    const tell = (mark: string, line: string | null): void => {
+      if (line !== null)
+        this.lines.push(`${((this.now - 102_000) / 1000).toFixed(1).padStart(6)} ${mark} ${line}`);
+    };
+    for (const command of commands) tell('>', tellCommand(command));
+    const effects = step(this.state, commands, this.time());
+    for (const effect of effects) tell('<', tellEffect(effect));
+    return effects;
+  }
+
+  /** One batch whose commits are applied at once, and what follows from that. */
+  do(...commands: Command[]): Effect[] {
+    const all = this.raw(...commands);
+    for (let commit = all.find((effect) => effect.kind === 'commit'); commit?.kind === 'commit';) {
+      const next = this.raw({
+        kind: 'committed',
+        id: commit.id,
+        outcome: { kind: 'applied', revision: ++this.#stamp },
+      });
+      all.push(...next);
+      commit = next.find((effect) => effect.kind === 'commit');
+    }
+    return all;
+  }
+
+  add(spec: JobSpec): Effect[] {
+    return this.do({ kind: 'jobAdded', job: { value: spec, stamp: ++this.#stamp } });
+  }
+
+  hear(from: Report): Effect[] {
+    return this.do({ kind: 'report', reply: ++this.#reply, report: from });
+  }
+
+  /** The tasks that a batch of effects starts, as `job/task#attempt`. */
+  static starts(effects: readonly Effect[]): string[] {
+    return effects.flatMap((effect) =>
+      effect.kind === 'reply' && effect.body.kind === 'commands'
+        ? effect.body.commands
+            .filter(({ op }) => op === 'start')
+            .map(({ job, task, attempt }) => `${job}/${task}#${attempt}`)
+        : [],
+    );
+  }
+
+  async keep(name: string): Promise<void> {
+    await expect(`${this.lines.join('\n')}\n`).toMatchFileSnapshot(`../traces/${name}.txt`);
+  }
+}
