--- a/test/guards.test.ts
+++ b/test/guards.test.ts
@@ -206,6 +206,18 @@
   });
 });
 
+test('completion: while its commit has no answer, a report is answered without the forgetting', () => {
+  const bench = runningOn();
+  const exited = [task('req-1/0', 1, 'exited', 'done')];
+  bench.raw({ kind: 'report', reply: 50, report: report('m', 4, exited) });
+  bench.now += 1000;
+  expect(bench.raw({ kind: 'tick' })).toContainEqual({
+    kind: 'reply',
+    reply: 50,
+    body: { kind: 'commands', token: TERM, commands: [] },
+  });
+});
+
 test('a cancelled task is stopped, and its record stays until it is gone', async () => {
   const bench = runningOn();
   bench.do({ kind: 'jobRemoved', id: 'req-1' });
--- a/test/standins/core.ts
+++ b/test/standins/core.ts
@@ -198,6 +198,6 @@
   }
 
   async keep(name: string): Promise<void> {
-    await expect(`${this.lines.join('\n')}\n`).toMatchFileSnapshot(`../traces/${name}.txt`);
+    await expect(`${this.lines.join('\n')}\n`).toMatchFileSnapshot(`./traces/${name}.txt`);
   }
 }
