--- a/build.mjs
+++ b/build.mjs
@@ -4,14 +4,21 @@
 import { build } from 'esbuild';
 
 const { version } = JSON.parse(readFileSync('package.json', 'utf8'));
-await build({
-  entryPoints: ['src/main.ts'],
-  outfile: 'target/rowanferry.cjs',
+const common = {
   bundle: true,
   platform: 'node',
   format: 'cjs',
   target: 'node20',
-  minifySyntax: true,
   legalComments: 'none',
   define: { ROWANFERRY_VERSION: JSON.stringify(version) },
+};
+await build({
+  ...common,
+  entryPoints: ['src/main.ts'],
+  outfile: 'target/rowanferry.cjs',
+  minifySyntax: true,
+  banner: { js: '#!/usr/bin/env node' },
 });
+if (process.argv.includes('--standins')) {
+  await build({ ...common, entryPoints: ['test/standins/serve.ts'], outfile: 'target/standins.cjs' });
+}
--- /dev/null
+++ b/src/client.ts
@@ -0,0 +1,71 @@
+/** The thin user verbs: one request to a controller, its answer on standard output. */
+import { HttpClient, type Answer } from './adapters/http.js';
+import { parseAddress } from './settings.js';
+import { asObject } from './wire/json.js';
+
+export interface Output {
+  out(line: string): void;
+  err(line: string): void;
+}
+
+const TIMEOUT_MS = 5000;
+const POLL_MS = 1000;
+
+export class Client {
+  constructor(
+    private readonly server: string,
+    private readonly output: Output,
+  ) {}
+
+  async #ask(method: string, path: string, body: string | null): Promise<Answer> {
+    const client = new HttpClient(parseAddress(this.server), 1, false);
+    const answer = await client.call(method, path, body, TIMEOUT_MS);
+    client.close();
+    return answer;
+  }
+
+  /** Prints an answer; the result is the exit code. */
+  #tell(answer: Answer): number {
+    if (answer.status === 0) {
+      this.output.err(`rowanferry: no answer from ${this.server}`);
+      return 1;
+    }
+    const body = JSON.stringify(answer.body);
+    if (answer.status < 300) {
+      this.output.out(body);
+      return 0;
+    }
+    this.output.err(`rowanferry: ${answer.status} ${body}`);
+    return 1;
+  }
+
+  async submit(job: unknown): Promise<number> {
+    return this.#tell(await this.#ask('POST', '/v2/runs', JSON.stringify(job)));
+  }
+
+  async show(id: string, follow: boolean): Promise<number> {
+    const path = `/v2/runs/${encodeURIComponent(id)}`;
+    let last = '';
+    for (;;) {
+      const answer = await this.#ask('GET', path, null);
+      const stage = asObject(answer.body)?.['stage'];
+      const over = stage === 'done' || stage === 'withdrawn';
+      if (!follow || over || (answer.status !== 200 && answer.status !== 503)) return this.#tell(answer);
+      const line = JSON.stringify(answer.body);
+      if (line !== last && answer.status === 200) this.output.out(line);
+      last = line;
+      await new Promise((resolve) => setTimeout(resolve, POLL_MS));
+    }
+  }
+
+  async withdraw(id: string): Promise<number> {
+    return this.#tell(await this.#ask('POST', `/v2/runs/${encodeURIComponent(id)}/withdraw`, '{}'));
+  }
+
+  async status(): Promise<number> {
+    const answer = await this.#ask('GET', '/status', null);
+    if (answer.status !== 200) return this.#tell(answer);
+    this.output.out(JSON.stringify(answer.body, null, 2));
+    return 0;
+  }
+}
--- a/src/main.ts
+++ b/src/main.ts
@@ -1,4 +1,5 @@
 import { main } from './cli.js';
 
-const code = main(process.argv.slice(2));
-if (code !== null) process.exitCode = code;
+void main(process.argv.slice(2)).then((code) => {
+  if (code !== null) process.exitCode = code;
+});
--- a/src/node.ts
+++ b/src/node.ts
@@ -5,13 +5,12 @@
 import type { Workers } from './adapters/workers.js';
 import type { Clock } from './clock.js';
 import type { Effect, LoadedChunk, Recheck } from './core/effects.js';
-import { createState, type Rules } from './core/state.js';
+import { createState, type PolicyFigures, type Rules } from './core/state.js';
 import type { EndedRecord, JobSpec, Report, Stamped } from './core/types.js';
 import { Deputy } from './deputy.js';
 import { Election, type Elected } from './election.js';
 import type { Log } from './logging.js';
 import { Owner } from './owner.js';
-import { defaultPolicy } from './policy.js';
 import { timing, type PlatformSettings, type Timing } from './settings.js';
 import type { JobCount, PeerStatus } from './wire/peers.js';
 import {
@@ -37,7 +36,7 @@
 const MOST_COUNTS = 500;
 const MOST_REDIRECTED = 5000;
 
-export function rulesFor(settings: PlatformSettings): Rules {
+export function rulesFor(settings: PlatformSettings, policy: PolicyFigures): Rules {
   const { cluster } = settings;
   const startWithin = new Map<string, number>();
   const deadlineTimes = new Map<string, number[]>();
@@ -61,7 +60,7 @@
     chunkTasks: 8 * Math.max(1, Math.floor((cluster.state.value_kb * 1024) / BYTES_PER_TASK / 8)),
     txnOps: cluster.state.txn_ops,
     listLag: cluster.cloud.list_lag_s * 1000,
-    policy: defaultPolicy(settings),
+    policy,
   };
 }
 
@@ -81,6 +80,7 @@
   readonly workers: Workers;
   readonly clock: Clock;
   readonly log: Log;
+  readonly policy: PolicyFigures;
   /** Names this life of the node, and no other. */
   readonly incarnation: string;
 }
@@ -121,7 +121,7 @@
     this.#clock = clock;
     this.#log = log;
     this.#deputy = new Deputy(settings.host_name, state, clock, this.#timing);
-    const rules = rulesFor(settings);
+    const rules = rulesFor(settings, ports.policy);
     this.#owner = new Owner(createState(settings.host_name, rules), clock, log, (effect) =>
       this.#carryOut(effect),
     );
--- a/src/service.ts
+++ b/src/service.ts
@@ -6,11 +6,12 @@
 import { HttpStateService } from './adapters/state.js';
 import { HttpWorkers } from './adapters/workers.js';
 import { systemClock } from './clock.js';
+import type { PolicyFigures } from './core/state.js';
 import type { Log } from './logging.js';
 import { ControllerNode } from './node.js';
 import { parseAddress, timing, type PlatformSettings } from './settings.js';
 
-export function startService(settings: PlatformSettings, log: Log): void {
+export function startService(settings: PlatformSettings, policy: PolicyFigures, log: Log): void {
   const clock = systemClock;
   const times = timing(settings);
   const node = new ControllerNode(settings, {
@@ -19,6 +20,7 @@
     workers: new HttpWorkers(2 * times.longestReport),
     clock,
     log,
+    policy,
     incarnation: randomUUID(),
   });
   const server = createPublicServer(node, settings.cluster.quota.sockets);
--- a/src/settings.ts
+++ b/src/settings.ts
@@ -73,13 +73,16 @@
   throw new SettingsError(settingsFaults(document)[0] ?? 'settings: invalid');
 }
 
-export function readDocument(file: string): unknown {
-  let source: string;
+export function readText(file: string): string {
   try {
-    source = readFileSync(file, 'utf8');
+    return readFileSync(file, 'utf8');
   } catch (error) {
     throw new SettingsError(`${file}: ${error instanceof Error ? error.message : 'cannot be read'}`);
   }
+}
+
+export function readDocument(file: string): unknown {
+  const source = readText(file);
   try {
     return JSON.parse(source) as unknown;
   } catch (error) {
--- /dev/null
+++ b/test/cli.test.ts
@@ -0,0 +1,76 @@
+/** The command line, as its user sees it. */
+import { mkdtempSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { expect, test } from 'vitest';
+import { main } from '../src/cli.js';
+import { testSettings } from './standins/world.js';
+
+const folder = mkdtempSync(join(tmpdir(), 'rowanferry-'));
+const file = (name: string, content: string): string => {
+  const path = join(folder, name);
+  writeFileSync(path, content);
+  return path;
+};
+const good = file('good.json', JSON.stringify(testSettings(0)));
+
+async function run(...args: string[]): Promise<{ code: number | null; out: string[]; err: string[] }> {
+  const out: string[] = [];
+  const err: string[] = [];
+  const code = await main(args, { out: (line) => out.push(line), err: (line) => err.push(line) });
+  return { code, out, err };
+}
+
+test('help and version end well', async () => {
+  const help = await run('--help');
+  expect(help.code).toBe(0);
+  for (const verb of ['serve', 'check', 'submit', 'show', 'withdraw', 'status'])
+    expect(help.out.join()).toContain(verb);
+  expect((await run('--version')).code).toBe(0);
+});
+
+test.each([
+  [['nonsense']],
+  [['serve']],
+  [['show']],
+  [['show', 'req-1', '--server', 'nowhere']],
+  [['check', '--x']],
+])('wrong use %j: one line, exit 2', async (args) => {
+  const { code, err } = await run(...args);
+  expect(code).toBe(2);
+  expect(err).toHaveLength(1);
+});
+
+test('bad settings end a start with one line that names the field, exit 2', async () => {
+  const bad = file('bad.json', JSON.stringify({ ...testSettings(0), peer_bind: 'here' }));
+  expect(await run('serve', '--settings', bad)).toEqual({
+    code: 2,
+    out: [],
+    err: ['rowanferry: peer_bind: must be IP:PORT'],
+  });
+  expect((await run('serve', '--settings', join(folder, 'none.json'))).code).toBe(2);
+});
+
+test('a policy fault refuses the start', async () => {
+  const policy = file('bad.policy', 'headroom = 99.0\n');
+  const { code, err } = await run('serve', '--settings', good, '--policy', policy);
+  expect(code).toBe(2);
+  expect(err).toEqual(['rowanferry: 1:12: headroom can be 99, and must be 0 to 10']);
+});
+
+test('check lists all faults, or says that there are none', async () => {
+  expect(await run('check', '--settings', good)).toEqual({ code: 0, out: ['no faults'], err: [] });
+  const bad = file(
+    'two.json',
+    JSON.stringify({ ...testSettings(0), host_name: '', zone: 5, more: 'ignored' }),
+  );
+  const { code, err } = await run('check', '--settings', bad);
+  expect(code).toBe(2);
+  expect(err.map((line) => line.split(': ')[1])).toEqual(['host_name', 'zone']);
+});
+
+test('an unreachable service: one line, exit 1', async () => {
+  const { code, err } = await run('show', 'req-1', '--server', '127.0.0.1:1');
+  expect(code).toBe(1);
+  expect(err).toEqual(['rowanferry: no answer from 127.0.0.1:1']);
+});
--- /dev/null
+++ b/test/policy.test.ts
@@ -0,0 +1,46 @@
+/** Operators' own settings: what the checker finds, and what a sound policy changes. */
+import { describe, expect, test } from 'vitest';
+import { createPolicy, FIGURES, readPolicy, tellFault } from '../src/policy.js';
+import { job } from './standins/core.js';
+import { testSettings } from './standins/world.js';
+
+const settings = testSettings(0);
+const faults = (text: string): string[] => readPolicy(text, settings).faults.map(tellFault);
+
+test('every shipped default is a sound policy of its own', () => {
+  const text = Object.entries(FIGURES).map(([name, { source }]) => `${name} = ${source}`);
+  expect(faults(text.join('\n'))).toEqual([]);
+});
+
+describe('the checker names line, column and reason of every fault', () => {
+  test.each([
+    ['no_such = 1.0', '1:1: unknown figure no_such'],
+    ['# fine\n\nheadroom = wrong + 1.0', '3:12: Unknown variable: wrong'],
+    ['headroom = 2 * cores', '1:12: no such overload: int * double'],
+    ['headroom = job_class', '1:12: is a string, where a number is needed'],
+    ['headroom = 1.0 +', '1:17: Unexpected token: EOF'],
+    ['headroom = 1.0 / 0.0', '1:12: headroom can be Infinity, and must be 0 to 10'],
+    ['headroom = cores', '1:12: headroom can be 64, and must be 0 to 10'],
+    ['placing_wait_s = cores', '1:18: Unknown variable: cores'],
+    ['headroom = 1.0\nheadroom = 2.0', '2:1: headroom is set twice'],
+    ['whatever', '1:1: expected `name = expression`'],
+  ])('%s', (text, fault) => {
+    expect(faults(text)).toEqual([fault]);
+  });
+
+  test('all faults are listed, not just the first', () => {
+    expect(faults('a = 1.0\nb = 2.0')).toHaveLength(2);
+  });
+});
+
+test('an expression may tell classes apart', () => {
+  const policy = createPolicy(settings, 'estimate_multiplier = job_class == "slow" ? 2.0 : 1.0');
+  expect(policy.expectedRun(job('req-1', 1, 1, 30, { jobClass: 'slow' }))).toBe(60_000);
+  expect(policy.expectedRun(job('req-2', 1, 1, 30))).toBe(30_000);
+});
+
+test('a fault at run time falls back to the default', () => {
+  // Sound for every sample, but not for this job.
+  const policy = createPolicy(settings, 'headroom = 1.0 + 10.0 * memory_gb / 1000.0');
+  expect(policy.headroom(job('req-1', 1, 1, 30, { memoryGb: 5000 }))).toBe(1);
+});
--- /dev/null
+++ b/test/server.test.ts
@@ -0,0 +1,147 @@
+/** The public port over real HTTP on loopback: what users and workers get for good and bad input. */
+import type { Server } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { afterAll, beforeAll, expect, test } from 'vitest';
+import { HttpClient, type Answer } from '../src/adapters/http.js';
+import { createPublicServer } from '../src/adapters/server.js';
+import { Users } from '../src/adapters/users.js';
+import { systemClock } from '../src/clock.js';
+import { parseReport } from '../src/wire/workers.js';
+import { TYPES } from './standins/cloud.js';
+import { VirtualClock } from './standins/clock.js';
+import { Network } from './standins/network.js';
+import { StateStandin } from './standins/state.js';
+import { seeded } from './standins/world.js';
+import type { StateService } from '../src/adapters/state.js';
+
+const state = new StateStandin(new Network(new VirtualClock(), seeded(1)));
+let down = false;
+const service: StateService = {
+  read: (key) => Promise.resolve(down ? 'unknown' : { entry: state.read(key) }),
+  list: (prefix) => Promise.resolve({ entries: state.list(prefix), revision: state.revision }),
+  commit: (txn) => Promise.resolve(down ? { kind: 'refused' } : state.commit(txn)),
+  watch: () => Promise.resolve({ kind: 'unknown' }),
+  grant: () => Promise.resolve(null),
+  renew: () => Promise.resolve(null),
+  contactAt: () => null,
+};
+let types = new Map(TYPES.map((type) => [type.name, type]));
+const users = new Users({
+  state: service,
+  clock: systemClock,
+  teams: new Map([['crew', { cpus: 0, cpusMax: 8, gpus: 0, gpusMax: 0 }]]),
+  patience: 100,
+  types: () => types,
+  counts: () => null,
+});
+const server: Server = createPublicServer(
+  {
+    users,
+    report: (body, done) =>
+      parseReport(body) === null ? done(400, '{"error":"malformed report"}') : done(200, '{}'),
+    ready: () => true,
+    describe: () => ({ fine: true }),
+  },
+  100,
+);
+let client: HttpClient;
+beforeAll(async () => {
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  client = new HttpClient({ host: '127.0.0.1', port: (server.address() as AddressInfo).port }, 4);
+});
+afterAll(() => {
+  client.close();
+  server.close();
+  server.closeAllConnections();
+});
+
+const good = {
+  nameId: 'req-000001',
+  repertoire: 'train',
+  crew: 'crew',
+  form: 'array',
+  urgency: 'high',
+  movements: 2,
+  cores: 1.0,
+  gpus: 0.0,
+  memGb: 1.0,
+  edition: 'img',
+  pullGb: 1.5,
+  benches: null,
+  hall: null,
+  together: false,
+  apart: false,
+  borrowed: true,
+  expectedS: 5.0,
+  bookmarkS: 0.0,
+  bookmarkWriteS: 0.0,
+  curtainS: null,
+};
+const post = (body: unknown): Promise<Answer> =>
+  client.call('POST', '/v2/runs', typeof body === 'string' ? body : JSON.stringify(body), 5000);
+const get = (path: string): Promise<Answer> => client.call('GET', path, null, 5000);
+
+test.each<[string, unknown]>([
+  ['not JSON', '{'],
+  ['not an object', '[1]'],
+  ['a bare value', '7'],
+  ['a missing field', { ...good, edition: undefined }],
+  ['a mistyped field', { ...good, cores: '8' }],
+  ['a field out of range', { ...good, movements: 0 }],
+  ['too many tasks', { ...good, movements: 100_001 }],
+  ['an unknown priority', { ...good, urgency: 'urgent' }],
+  ['an unknown form', { ...good, form: 'choir' }],
+  ['a bad id', { ...good, nameId: 'job-1' }],
+  ['a body over 64 KiB', { ...good, edition: 'x'.repeat(70_000) }],
+])('%s gets 400 and one line of reason', async (_what, body) => {
+  const answer = await post(body);
+  expect(answer.status).toBe(400);
+  expect(answer.body).toEqual({ error: expect.any(String) as unknown });
+});
+
+test.each<[string, unknown]>([
+  ['an unknown team', { ...good, crew: 'nobody' }],
+  ['no machine large enough', { ...good, memGb: 4096 }],
+  ['a type that does not exist', { ...good, benches: ['huge'] }],
+  ['a service beyond the limit of its team', { ...good, form: 'service', movements: 9 }],
+])('%s gets 422, but only once machine types are known', async (_what, body) => {
+  expect((await post(body)).status).toBe(422);
+  const known = types;
+  types = new Map();
+  expect((await post(body)).status).toBe(503);
+  types = known;
+});
+
+test('a job: accepted once, known ever after, withdrawn for good', async () => {
+  expect(await get('/v2/runs/req-000001')).toMatchObject({ status: 404 });
+  expect(await post({ ...good, unknownField: 1, hall: undefined })).toEqual({
+    status: 201,
+    body: { nameId: 'req-000001', stage: 'pending' },
+  });
+  expect(await post(good)).toMatchObject({ status: 200, body: { stage: 'pending' } });
+  const withdrawn = { status: 200, body: { nameId: 'req-000001', stage: 'withdrawn' } };
+  expect(await client.call('POST', '/v2/runs/req-000001/withdraw', '{}', 5000)).toEqual(withdrawn);
+  expect(await client.call('POST', '/v2/runs/req-000001/withdraw', null, 5000)).toMatchObject(withdrawn);
+  expect(await get('/v2/runs/req-000001')).toMatchObject(withdrawn);
+  expect(await post(good)).toMatchObject(withdrawn);
+  // Even a faulty resubmission of a known job does not deny it.
+  expect(await post({ ...good, crew: 'nobody' })).toMatchObject(withdrawn);
+});
+
+test('while the state service is away: 503 at once, never 404', async () => {
+  down = true;
+  expect((await get('/v2/runs/req-000077')).status).toBe(503);
+  expect((await post({ ...good, nameId: 'req-000077' })).status).toBe(503);
+  down = false;
+  expect((await get('/v2/runs/req-000077')).status).toBe(404);
+});
+
+test('unknown paths get 404, wrong methods 405, malformed reports 400', async () => {
+  expect((await get('/nowhere')).status).toBe(404);
+  expect((await get('/v1/report')).status).toBe(405);
+  expect((await client.call('DELETE', '/v2/runs', null, 5000)).status).toBe(405);
+  expect((await client.call('POST', '/ready', '{}', 5000)).status).toBe(405);
+  expect((await client.call('POST', '/v1/report', '{"skiff":1}', 5000)).status).toBe(400);
+  expect((await client.call('POST', '/v1/report', 'garbage', 5000)).status).toBe(400);
+  expect((await get('/ready')).status).toBe(200);
+});
--- a/test/standins/core.ts
+++ b/test/standins/core.ts
@@ -5,6 +5,7 @@
 import { step } from '../../src/core/step.js';
 import type { JobSpec, MachineType, Report, ReportedTask } from '../../src/core/types.js';
 import { rulesFor } from '../../src/node.js';
+import { createPolicy } from '../../src/policy.js';
 import { testSettings } from './world.js';
 
 export const TERM = 5;
@@ -137,7 +138,8 @@
   #reply = 0;
 
   constructor(cpusMax = 0) {
-    this.state = createState('n-0', rulesFor(testSettings(0, cpusMax)));
+    const settings = testSettings(0, cpusMax);
+    this.state = createState('n-0', rulesFor(settings, createPolicy(settings)));
     step(this.state, [{ kind: 'catalog', types: [EIGHT] }], this.time());
     step(
       this.state,
--- /dev/null
+++ b/test/standins/serve.ts
@@ -0,0 +1,188 @@
+/**
+ * The stand-ins on loopback, in real time: a state service, a cloud and its workers, and
+ * the settings of three controllers, for trying rowanferry out. For development only.
+ */
+import express, { type Request, type Response } from 'express';
+import { mkdirSync, writeFileSync } from 'node:fs';
+import { join } from 'node:path';
+import { HttpClient } from '../../src/adapters/http.js';
+import type { ListedMachine } from '../../src/core/types.js';
+import { parseAddress } from '../../src/settings.js';
+import { asObject, isText } from '../../src/wire/json.js';
+import type { Transaction, Write } from '../../src/wire/state.js';
+import { Checker } from './checker.js';
+import { VirtualClock } from './clock.js';
+import { CloudStandin, TYPES, Worker } from './cloud.js';
+import { Network } from './network.js';
+import { StateStandin } from './state.js';
+import { seeded, testSettings } from './world.js';
+
+const NODES = 3;
+const STEP_MS = 5;
+const RUN_MS = 4000;
+
+const clock = new VirtualClock();
+const network = new Network(clock, seeded(1));
+const state = new StateStandin(network);
+const checker = new Checker(30_000, 0);
+const settings = Array.from({ length: NODES }, (_, i) => testSettings(i));
+const names = settings.map((one) => one.host_name);
+const clients = new Map(
+  settings.map((one) => [one.host_name, new HttpClient(parseAddress(one.public_addr), 16)]),
+);
+const cloud = new CloudStandin(network, (listed: ListedMachine) => {
+  const rules = { nodes: names, reportMs: 1000, leaseMs: 10_000, runMs: () => RUN_MS };
+  return new Worker(listed, network, rules, checker, (node, body, reply) => {
+    const call = clients.get(node)?.call('POST', '/v1/report', JSON.stringify(body), 4000);
+    void call?.then(({ status, body: told }) => {
+      if (status !== 0) reply(status, JSON.stringify(told ?? {}));
+    });
+  });
+});
+
+const app = express();
+app.use(express.json({ type: () => true, strict: false }));
+const text = (value: unknown): string => (typeof value === 'string' ? value : '');
+const entryOf = ({ key, value, stamp }: { key: string; value: unknown; stamp: number }): object => ({
+  key,
+  data: value,
+  stamp,
+});
+
+app.get('/keys', (request, response) => {
+  const after = text(request.query['after']);
+  const page = Number(request.query['page'] ?? 200);
+  const rows = state.list(text(request.query['prefix'])).filter(({ key }) => key > after);
+  response.json({
+    rows: rows.slice(0, page).map(entryOf),
+    truncated: rows.length > page,
+    ledgerRev: state.revision,
+  });
+});
+app.get('/keys/*key', (request, response) => {
+  const found = state.read(request.params.key.join('/'));
+  if (found === null) response.status(404).json({ ledgerRev: state.revision });
+  else response.json(entryOf(found));
+});
+app.post('/commit', (request, response) => {
+  const body = asObject(request.body) ?? {};
+  const apply = ((body['apply'] ?? []) as Record<string, unknown>[]).map((raw): Write => {
+    if (!isText(raw['put'])) return { remove: text(raw['remove']) };
+    const lease = raw['permit'];
+    return { put: raw['put'], value: raw['data'], ...(typeof lease === 'number' ? { lease } : {}) };
+  });
+  const outcome = state.commit({ when: (body['when'] ?? []) as Transaction['when'], apply });
+  if (outcome.kind === 'applied') response.json({ ledgerRev: outcome.revision });
+  else if (outcome.kind === 'failed')
+    response.status(409).json({ failed: outcome.keys, ledgerRev: state.revision });
+  else response.status(400).json({ error: 'no such lease' });
+});
+app.post('/leases', (request, response) => {
+  response.json({ permit: state.grant(Number(asObject(request.body)?.['lifeMs'])) });
+});
+app.post('/leases/:id/renew', (request, response) => {
+  const renewed = state.renew(Number(request.params.id));
+  response.status(renewed ? 200 : 404).json({});
+});
+app.get('/watch', (request: Request, response: Response) => {
+  const { prefix, after, waitMs } = request.query;
+  state.watch(
+    text(prefix),
+    Number(after),
+    Number(waitMs ?? 0),
+    () => false,
+    (found) => {
+      if (found.kind !== 'changes') response.status(410).json({});
+      else {
+        const events = found.changes.map(({ key, value, stamp }) =>
+          value === undefined ? { remove: key, stamp } : { put: key, data: value, stamp },
+        );
+        response.json({ ledgerRev: found.revision, events });
+      }
+    },
+  );
+});
+
+app.get('/catalog', (_request, response) => {
+  const benches = TYPES.map((type) => ({
+    name: type.name,
+    cores: type.cpus,
+    gpus: type.gpus,
+    memGb: type.memoryGb,
+    cacheGb: type.cacheGb,
+    fetchGbPerS: type.fetchGbPerS,
+    hourly: type.price,
+    lowPrice: type.spotPrice,
+    readyS: type.bootS,
+    halls: type.zones,
+  }));
+  response.json({ benches });
+});
+app.get('/machines', (_request, response) => {
+  const skiffs = cloud.list().map(({ name, address, type, zone, spot, stage, ageS }) => ({
+    nameId: name,
+    address,
+    bench: type,
+    hall: zone,
+    borrowed: spot,
+    stage: stage === 'booting' ? 'starting' : stage,
+    heldS: ageS,
+  }));
+  response.json({ skiffs, truncated: false });
+});
+app.post('/machines', (request, response) => {
+  const { charter, bench, hall, borrowed, howMany } = asObject(request.body) ?? {};
+  const got = cloud.rent(text(charter), text(bench), text(hall), borrowed === true, Number(howMany));
+  if (typeof got === 'string') response.status(503).json({ error: 'no capacity' });
+  else response.json({ skiffs: got });
+});
+app.post('/machines/return', (request, response) => {
+  const skiffs = asObject(request.body)?.['skiffs'];
+  for (const name of Array.isArray(skiffs) ? skiffs.filter(isText) : []) cloud.remove(name);
+  response.json({});
+});
+
+const folder = process.argv[2] ?? 'target/demo';
+mkdirSync(folder, { recursive: true });
+settings.forEach((one, i) => {
+  const { endpoints } = one;
+  const document = { ...one, endpoints: { ...endpoints, cloud: endpoints.state } };
+  writeFileSync(join(folder, `node-${i}.json`), `${JSON.stringify(document, null, 2)}\n`);
+});
+const job = {
+  nameId: 'req-000001',
+  repertoire: 'class',
+  crew: 'crew',
+  form: 'array',
+  urgency: 'normal',
+  movements: 6,
+  cores: 2,
+  gpus: 0,
+  memGb: 2,
+  edition: 'img',
+  pullGb: 0.3,
+  benches: null,
+  hall: null,
+  together: false,
+  apart: false,
+  borrowed: true,
+  expectedS: 4,
+  bookmarkS: 0,
+  bookmarkWriteS: 0,
+  curtainS: 60,
+};
+writeFileSync(join(folder, 'job.json'), `${JSON.stringify(job, null, 2)}\n`);
+
+const [first] = settings;
+const { host, port } = parseAddress(first?.endpoints.state ?? '127.0.0.1:7300');
+app.listen(port, host, () => {
+  process.stdout.write(`state service and cloud on ${host}:${port}; settings and a job in ${folder}\n`);
+});
+let then = performance.now();
+const advance = async (): Promise<void> => {
+  const now = performance.now();
+  await clock.runUntil(clock.now + now - then);
+  then = now;
+  setTimeout(() => void advance(), STEP_MS);
+};
+void advance();
--- a/test/standins/world.ts
+++ b/test/standins/world.ts
@@ -2,6 +2,7 @@
 import { pino } from 'pino';
 import { unsafeUniformIntDistribution, xoroshiro128plus } from 'pure-rand';
 import { ControllerNode } from '../../src/node.js';
+import { createPolicy } from '../../src/policy.js';
 import { parseSettings, timing, type PlatformSettings } from '../../src/settings.js';
 import { Checker, type SubmittedJob } from './checker.js';
 import { ProcessClock, VirtualClock } from './clock.js';
@@ -93,6 +94,7 @@
       workers: access,
       clock,
       log: pino({ level: process.env['TEST_LOG'] ?? 'silent' }),
+      policy: createPolicy(settings),
       incarnation: `life-${this.#incarnations++}`,
     });
     this.#lives.set(name, { node, clock });
--- /dev/null
+++ b/test/wire.test.ts
@@ -0,0 +1,71 @@
+/** What others wrote is never trusted. */
+import { expect, test } from 'vitest';
+import { encodeStatus, MOST_FRAME, StatusReader, type PeerStatus } from '../src/wire/peers.js';
+import { parseCatalog, parseMachines, parseRented } from '../src/wire/cloud.js';
+import { parseChanges, parsePage, parseRevision } from '../src/wire/state.js';
+import { encodeReply, parseReport, parseTaskName } from '../src/wire/workers.js';
+
+const status: PeerStatus = {
+  node: 'n-0',
+  incarnation: 'x',
+  term: 7,
+  leading: true,
+  stateAgeMs: 12,
+  counts: [{ id: 'req-1', done: 3, running: 0 }],
+};
+
+test('peer messages survive any cutting of the stream', () => {
+  const bytes = Buffer.concat([encodeStatus(status), encodeStatus({ ...status, term: 8 })]);
+  const reader = new StatusReader();
+  const found = [...bytes].flatMap((byte) => reader.push(Uint8Array.of(byte)));
+  expect(found).toEqual([status, { ...status, term: 8 }]);
+});
+
+test('garbage and oversized frames from a peer are refused', () => {
+  expect(() => new StatusReader().push(Uint8Array.of(0xff, 0xff, 0xff, 0xff, 0x7f))).toThrow();
+  expect(() => new StatusReader().push(Buffer.from([3, 0x07, 0x07, 0x07]))).toThrow();
+  expect(MOST_FRAME).toBeGreaterThan(encodeStatus(status).length);
+});
+
+test('malformed replies of the state service and the cloud count as none', () => {
+  expect(parseRevision({ ledgerRev: 'x' })).toBeNull();
+  expect(parsePage({ rows: [{ key: 'a' }], ledgerRev: 3 })).toBeNull();
+  expect(parseChanges({ events: [{ stamp: 3 }], ledgerRev: 3 })).toBeNull();
+  expect(parseCatalog({ benches: [{ name: 'x' }] })).toBeNull();
+  expect(parseMachines({ skiffs: [{ nameId: 'vm', stage: 'odd' }] })).toBeNull();
+  expect(parseRented({ skiffs: [7] })).toBeNull();
+});
+
+test('reports: null equals absent, unknown fields are ignored, faults refuse the whole', () => {
+  const report = {
+    skiff: 'vm-1',
+    address: '10.0.0.1:1',
+    bench: 'g8',
+    hall: 'a',
+    borrowed: true,
+    watch: 1,
+    barNo: 8,
+    baton: 4,
+    more: 1,
+    movements: [{ movement: 'req-1/3', take: 2, stage: 'ended', cadence: 'new kind of end' }],
+  };
+  expect(parseReport(report)).toMatchObject({
+    noticeS: null,
+    tasks: [{ job: 'req-1', task: 3, exit: 'error' }],
+  });
+  expect(parseReport({ ...report, recallS: null, movements: null })).toMatchObject({ tasks: [] });
+  expect(
+    parseReport({ ...report, movements: [{ movement: 'req-1', take: 2, stage: 'running' }] }),
+  ).toBeNull();
+  expect(parseReport({ ...report, barNo: -1 })).toBeNull();
+  expect(parseTaskName('req-1/')).toBeNull();
+});
+
+test('commands as a worker reads them', () => {
+  expect(
+    JSON.parse(encodeReply(41, [{ op: 'stop', job: 'req-1', task: 1, attempt: 2, graceS: 10 }])),
+  ).toEqual({
+    baton: 41,
+    cues: [{ cue: 'halt', movement: 'req-1/1', take: 2, fermataS: 10 }],
+  });
+});
