--- a/src/adapters/server.ts
+++ b/src/adapters/server.ts
@@ -2,6 +2,7 @@
 import express, { type ErrorRequestHandler, type RequestHandler, type Response } from 'express';
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { parseJson } from '../wire/json.js';
+import type { Latencies } from '../latency.js';
 import type { UserAnswer, Users } from './users.js';
 
 const MOST_BODY = 64 * 1024;
@@ -13,6 +14,7 @@
   report(body: unknown, done: (status: number, body: string) => void): void;
   ready(): boolean;
   describe(): object;
+  readonly latencies: Pick<Latencies, 'record'>;
 }
 
 function sendJson(response: ServerResponse, status: number, body: string): void {
@@ -58,6 +60,11 @@
 
 export function createPublicServer(served: Served, sockets: number): Server {
   const { users } = served;
+  const timed = async (kind: string, response: Response, answer: Promise<UserAnswer>): Promise<void> => {
+    const from = performance.now();
+    reply(response, await answer);
+    served.latencies.record(kind, performance.now() - from);
+  };
   const app = express();
   app.disable('x-powered-by');
   app.disable('etag');
@@ -68,15 +75,15 @@
     .all(notAllowed);
   app
     .route('/v2/runs')
-    .post(body, async (request, response) => reply(response, await users.submit(request.body as unknown)))
+    .post(body, (request, response) => timed('submit', response, users.submit(request.body as unknown)))
     .all(notAllowed);
   app
     .route('/v2/runs/:id')
-    .get(async (request, response) => reply(response, await users.show(request.params.id)))
+    .get((request, response) => timed('show', response, users.show(request.params.id)))
     .all(notAllowed);
   app
     .route('/v2/runs/:id/withdraw')
-    .post(async (request, response) => reply(response, await users.withdraw(request.params.id)))
+    .post((request, response) => timed('withdraw', response, users.withdraw(request.params.id)))
     .all(notAllowed);
   app
     .route('/status')
--- /dev/null
+++ b/src/latency.ts
@@ -0,0 +1,36 @@
+/** How long requests take, by kind; bounded histograms for the status page. */
+import { build, type Histogram } from 'hdr-histogram-js';
+
+const MOST_MS = 60_000;
+
+export class Latencies {
+  readonly #kinds = new Map<string, Histogram>();
+
+  record(kind: string, ms: number): void {
+    let histogram = this.#kinds.get(kind);
+    if (histogram === undefined) {
+      histogram = build({
+        lowestDiscernibleValue: 1,
+        highestTrackableValue: MOST_MS,
+        numberOfSignificantValueDigits: 2,
+      });
+      this.#kinds.set(kind, histogram);
+    }
+    histogram.recordValue(Math.min(MOST_MS, Math.max(1, Math.round(ms))));
+  }
+
+  describe(): Record<string, object> {
+    const found: Record<string, object> = {};
+    for (const [kind, histogram] of this.#kinds) {
+      const at = (share: number): number => histogram.getValueAtPercentile(share);
+      found[kind] = {
+        count: histogram.totalCount,
+        p50: at(50),
+        p95: at(95),
+        p99: at(99),
+        max: histogram.maxValue,
+      };
+    }
+    return found;
+  }
+}
--- a/src/node.ts
+++ b/src/node.ts
@@ -8,7 +8,9 @@
 import { createState, type PolicyFigures, type Rules } from './core/state.js';
 import type { EndedRecord, JobSpec, Report, Stamped } from './core/types.js';
 import { Deputy } from './deputy.js';
+import { describeLead } from './describe.js';
 import { Election, type Elected } from './election.js';
+import { Latencies } from './latency.js';
 import type { Log } from './logging.js';
 import { Owner } from './owner.js';
 import { timing, type PlatformSettings, type Timing } from './settings.js';
@@ -92,6 +94,7 @@
 
 export class ControllerNode {
   readonly users: Users;
+  readonly latencies = new Latencies();
   readonly #timing: Timing;
   readonly #state: StateService;
   readonly #cloud: Cloud;
@@ -220,14 +223,16 @@
 
   describe(): object {
     const { state } = this.#owner;
+    const { stateAgeMs, term } = this.status();
+    const now = { mono: this.#clock.mono(), wall: this.#clock.wall() };
     return {
       node: this.settings.host_name,
       leader: state.leadership === null ? this.#leader : this.settings.host_name,
-      term: state.leadership?.term ?? this.#highestTerm,
-      stateAgeMs: this.status().stateAgeMs,
-      jobs: state.jobs.size,
-      machines: state.machines.size,
-      head: state.head,
+      term,
+      stateAgeMs,
+      ready: this.ready(),
+      latencyMs: this.latencies.describe(),
+      ...(state.leadership === null ? {} : { lead: describeLead(state, now) }),
     };
   }
 
@@ -242,7 +247,11 @@
       return;
     }
     const reply = this.#nextReply++;
-    this.#replies.set(reply, done);
+    const from = this.#clock.mono();
+    this.#replies.set(reply, (status, text) => {
+      this.latencies.record('report', this.#clock.mono() - from);
+      done(status, text);
+    });
     this.#owner.push({ kind: 'report', reply, report });
   }
 
--- a/test/server.test.ts
+++ b/test/server.test.ts
@@ -41,6 +41,7 @@
       parseReport(body) === null ? done(400, '{"error":"malformed report"}') : done(200, '{}'),
     ready: () => true,
     describe: () => ({ fine: true }),
+    latencies: { record: () => undefined },
   },
   100,
 );
