--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -344,9 +344,30 @@
   }
 }
 
+/**
+ * Zones of which many machines fell silent together: more likely a cut between here and
+ * there than so many deaths. Giving them all back would cost a boot of each, where the
+ * end of the cut brings the proof at once.
+ */
+function zonesApart(state: CoreState, now: Now): Set<string> {
+  const { longestReport } = state.rules.timing;
+  const zones = new Map<string, { silent: number; all: number }>();
+  for (const { heardAt, zone, leaving } of state.machines.values()) {
+    if (heardAt === null || leaving !== null) continue;
+    const counts = zones.get(zone) ?? { silent: 0, all: 0 };
+    counts.all += 1;
+    if (now.mono - heardAt > 3 * longestReport) counts.silent += 1;
+    zones.set(zone, counts);
+  }
+  const apart = new Set<string>();
+  for (const [zone, { silent, all }] of zones) if (silent >= 3 && silent > 0.6 * all) apart.add(zone);
+  return apart;
+}
+
 /** Gives up machines that are silent, never came up, or hold cancelled work out of reach. */
 export function judgeMachines(state: CoreState, now: Now): void {
   const { timing } = state.rules;
+  const apart = zonesApart(state, now);
   for (const machine of state.machines.values()) {
     if (machine.leaving !== null) continue;
     const type = state.types.get(machine.type);
@@ -361,7 +382,8 @@
       continue;
     }
     const silent = now.mono - Math.max(machine.heardAt, machine.relayedAt ?? 0);
-    if (silent > timing.silence) leave(machine, 'silent');
+    const patience = apart.has(machine.zone) ? 3 * timing.workerLease : timing.silence;
+    if (silent > patience) leave(machine, 'silent');
     else if (silent > 0.5 * timing.silence) {
       for (const claim of machine.claims.values()) {
         if (claim.job.over !== null) leave(machine, 'silent with ended work');
--- a/src/election.ts
+++ b/src/election.ts
@@ -35,6 +35,8 @@
     private readonly clock: Clock,
     private readonly timing: Timing,
     private readonly events: ElectionEvents,
+    /** How long this node waits before it stands, so that better placed ones come first. */
+    private readonly handicap = 0,
   ) {}
 
   stop(): void {
@@ -48,6 +50,7 @@
 
   async run(): Promise<void> {
     const pause = this.timing.tick;
+    let deferred = false;
     while (!this.#stopped) {
       const read = await this.state.read(LEADER_KEY);
       if (read === 'unknown') {
@@ -60,6 +63,12 @@
         await this.#waitForEnd(read.entry.stamp);
         continue;
       }
+      if (read.entry === null && !deferred && this.handicap > 0) {
+        deferred = true;
+        await this.clock.sleep(this.handicap);
+        continue;
+      }
+      deferred = false;
       // Either nobody leads, or an earlier life of this very node does: it is over.
       const won = await this.#stand(read.entry?.stamp ?? 0);
       if (won === null) await this.clock.sleep(pause / 2);
--- a/src/node.ts
+++ b/src/node.ts
@@ -26,6 +26,7 @@
   JOB_PREFIX,
   jobKey,
   jobOfKey,
+  LEADER_KEY,
   MEMORY_KEY,
   parseChunkKey,
   RUN_PREFIX,
@@ -75,6 +76,19 @@
   return jobs;
 }
 
+/**
+ * Workers that lose their node try the next one, and give each some seconds. When zones
+ * part, those of the far zone find a deputy within their lease only if the node after
+ * the leader is in another zone than the leader. Nodes of which this is not so stand later.
+ */
+function electionHandicap(settings: PlatformSettings): number {
+  const { host_name, zone, others } = settings;
+  const nodes = [{ host_name, zone }, ...others].sort((a, b) => (a.host_name < b.host_name ? -1 : 1));
+  const next = nodes[(nodes.findIndex((node) => node.host_name === host_name) + 1) % nodes.length];
+  const several = nodes.some((node) => node.zone !== zone);
+  return several && next?.zone === zone ? 4 * timing(settings).tick : 0;
+}
+
 /** What a controller needs of the world around it. */
 export interface Ports {
   readonly state: StateService;
@@ -128,17 +142,25 @@
     this.#owner = new Owner(createState(settings.host_name, rules), clock, log, (effect) =>
       this.#carryOut(effect),
     );
-    this.#election = new Election(settings.host_name, incarnation, state, clock, this.#timing, {
-      elected: (won) => void this.#lead(won),
-      lost: () => {
-        this.#leadingTerm = 0;
-        this.#owner.push({ kind: 'resign', reason: 'the lease has ended' });
-      },
-      leaderKnown: (leader) => {
-        this.#leader = leader?.node ?? null;
-        this.#highestTerm = Math.max(this.#highestTerm, leader?.term ?? 0);
+    this.#election = new Election(
+      settings.host_name,
+      incarnation,
+      state,
+      clock,
+      this.#timing,
+      {
+        elected: (won) => void this.#lead(won),
+        lost: () => {
+          this.#leadingTerm = 0;
+          this.#owner.push({ kind: 'resign', reason: 'the lease has ended' });
+        },
+        leaderKnown: (leader) => {
+          this.#leader = leader?.node ?? null;
+          this.#highestTerm = Math.max(this.#highestTerm, leader?.term ?? 0);
+        },
       },
-    });
+      electionHandicap(settings),
+    );
     this.users = new Users({
       state,
       clock,
@@ -154,10 +176,24 @@
     void this.#keepCatalog();
     void this.#keepList();
     void this.#keepTicking();
+    void this.#keepContact();
     void this.#keepRelays();
     this.#log.info({ node: this.settings.host_name, incarnation: this.ports.incarnation }, 'started');
   }
 
+  /**
+   * Keeps the knowledge fresh whether the state service answers this node. A follower
+   * without users would otherwise hear of it only as often as its long watch ends, and
+   * take itself for refused while the leader is served.
+   */
+  async #keepContact(): Promise<void> {
+    const often = this.#timing.stateTimeout / 2;
+    for (;;) {
+      await this.#clock.sleep(often);
+      if (this.status().stateAgeMs >= often) await this.#state.read(LEADER_KEY);
+    }
+  }
+
   async #keepTicking(): Promise<void> {
     for (;;) {
       await this.#clock.sleep(this.#timing.tick);
--- a/test/guards.test.ts
+++ b/test/guards.test.ts
@@ -147,6 +147,21 @@
   await bench.keep('silent-machine');
 });
 
+test('a zone whose machines all fall silent at once is waited for, not given back', () => {
+  // With two zones apart, half of the fleet was given back and booted anew.
+  const bench = new CoreBench();
+  const far = ['p', 'q', 'r', 's'];
+  for (const name of far) bench.hear(report(name, 1, [], { zone: 'b' }));
+  const silence = bench.state.rules.timing.silence;
+  bench.now += silence + 1000;
+  bench.hear(report('m', 1));
+  expect(kinds(bench.do({ kind: 'tick' }))).not.toContain('return');
+  bench.now += 2 * silence;
+  bench.do({ kind: 'proof', sentAt: bench.now });
+  bench.hear(report('m', 2));
+  expect(bench.do({ kind: 'tick' })).toContainEqual({ kind: 'return', machines: far });
+});
+
 test('proof: a failed return frees nothing and is tried again', () => {
   const bench = runningOn();
   bench.now += 12_000;
--- /dev/null
+++ b/test/ready.test.ts
@@ -0,0 +1,30 @@
+/** When a node says that it can take requests. */
+import { expect, test } from 'vitest';
+import { seeded, World } from './standins/world.js';
+
+test('followers without users stay ready while the state service answers them', async () => {
+  // They heard of it only when their long watch ended, and called themselves refused.
+  const world = new World(seeded(3));
+  for (let at = 2000; at <= 40_000; at += 500) {
+    await world.clock.runUntil(at);
+    expect(world.ready(), `at ${at} ms`).toEqual([true, true, true]);
+  }
+});
+
+test('a node that alone is refused by the state service goes unready, and comes back', async () => {
+  const world = new World(seeded(3));
+  await world.clock.runUntil(10_000);
+  world.state.refuse('n-1', 8000);
+  await world.clock.runUntil(16_000);
+  expect(world.ready()).toEqual([true, false, true]);
+  await world.clock.runUntil(24_000);
+  expect(world.ready()).toEqual([true, true, true]);
+});
+
+test('in an outage that hits all, nodes stay ready and answer 503', async () => {
+  const world = new World(seeded(3));
+  await world.clock.runUntil(10_000);
+  world.state.outage(10_000);
+  await world.clock.runUntil(18_000);
+  expect(world.ready()).toEqual([true, true, true]);
+});
--- a/test/standins/state.ts
+++ b/test/standins/state.ts
@@ -99,7 +99,9 @@
   ): void {
     const { clock } = this.network;
     const until = clock.now + waitMs;
+    let answered = false;
     const look = (): void => {
+      if (answered) return;
       this.expire();
       if (down()) {
         clock.in(100, look);
@@ -107,13 +109,15 @@
       }
       const oldest = this.#changes[0]?.stamp ?? 0;
       if (this.#changes.length >= KEPT_CHANGES && after < oldest) {
+        answered = true;
         reply({ kind: 'tooOld' });
         return;
       }
       const changes = this.#changes.filter(({ key, stamp }) => stamp > after && key.startsWith(prefix));
-      if (changes.length > 0 || clock.now >= until)
+      if (changes.length > 0 || clock.now >= until) {
+        answered = true;
         reply({ kind: 'changes', changes, revision: this.revision });
-      else if (!this.#waiting.includes(look)) this.#waiting.push(look);
+      } else if (!this.#waiting.includes(look)) this.#waiting.push(look);
     };
     clock.in(waitMs, look);
     look();
--- a/test/standins/world.ts
+++ b/test/standins/world.ts
@@ -83,6 +83,11 @@
     });
   }
 
+  /** What each living node answers the load balancer. */
+  ready(): boolean[] {
+    return NODES.map((name) => this.#lives.get(name)?.node.ready() === true);
+  }
+
   start(i: number): void {
     const name = NODES[i] ?? '';
     const settings = testSettings(i, this.cpusMax);
