Jobs that must start soon to be in time stand first; machines' age is taken from the list

Cause: in overload arrival order made jobs with short deadlines late behind ones with time to spare; and after each takeover idle machines counted as new and were kept a minute longer. Ruled out: plain earliest deadline for all, which would replace arrival order on the ordinary path.

--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -309,8 +309,9 @@
     if (state.gone.has(entry.name)) continue;
     const known = state.machines.has(entry.name);
     const machine = machineNamed(state, entry.name, now);
+    // A new leader hears machines before it sees them listed, and their age with them.
+    machine.rentedAt = Math.min(machine.rentedAt, now.mono - entry.ageS * 1000);
     if (!known) {
-      machine.rentedAt = now.mono - entry.ageS * 1000;
       log(effects, 'machine taken on from the list', { machine: entry.name, stage: entry.stage });
     }
     if (machine.type === '') {
--- a/src/core/queue.ts
+++ b/src/core/queue.ts
@@ -29,21 +29,29 @@
   return lost;
 }
 
+/** Where a job stands within its priority: by group, then by `key`. */
+function standing(state: CoreState, job: JobState, now: Now): { group: number; key: number } {
+  const lost = aimsLost(state, job, now);
+  const run = expectedRun(state, job.spec);
+  const slack = timeLeft(job.spec, 1, now) - run;
+  // Pressed: it has to start within a run time from now to be in time.
+  if (lost === 0 && slack < run) return { group: 0, key: slack };
+  return { group: 1 + lost, key: job.stamp };
+}
+
 /**
  * Jobs with waiting tasks that may be tried now: higher priority first, then order of
  * arrival (the order of the stamps). Under overload, arrival order alone would make
- * every job late by the same delay; so a job whose deadline can no longer be met
- * stands behind those of its priority that can still meet theirs.
+ * every job late by the same delay. So a job whose deadline can no longer be met stands
+ * behind those of its priority that can still meet theirs, and one that must start soon
+ * to be in time stands before those that need not, the most pressed first.
  */
 export function waitingJobs(state: CoreState, now: Now): JobState[] {
-  const waiting: { job: JobState; lost: number }[] = [];
+  const waiting: { job: JobState; group: number; key: number }[] = [];
   for (const job of state.jobs.values()) {
-    if (waitingTasks(job) > 0 && job.retryAt <= now.mono)
-      waiting.push({ job, lost: aimsLost(state, job, now) });
+    if (waitingTasks(job) > 0 && job.retryAt <= now.mono) waiting.push({ job, ...standing(state, job, now) });
   }
-  waiting.sort(
-    (a, b) => a.job.spec.priority - b.job.spec.priority || a.lost - b.lost || a.job.stamp - b.job.stamp,
-  );
+  waiting.sort((a, b) => a.job.spec.priority - b.job.spec.priority || a.group - b.group || a.key - b.key);
   return waiting.map(({ job }) => job);
 }
 
