--- a/src/core/capacity.ts
+++ b/src/core/capacity.ts
@@ -138,9 +138,9 @@
 /** The latest start, on the steady clock, that a job's aims still allow. */
 function latestStart(state: CoreState, job: JobState, now: Now): number {
   const { spec } = job;
-  const times = state.rules.deadlineTimes.get(spec.jobClass) ?? [1];
+  const { lost, all } = aimsLost(state, job, now);
   // Late whatever is rented now: no hurry that dear machines would be worth.
-  if (spec.deadlineS !== null && aimsLost(state, job, now) >= times.length) {
+  if (spec.deadlineS !== null && lost >= all) {
     return now.mono + Math.max(0, spec.deadlineS * 1000 + Math.min(0, timeLeft(spec, 1, now)));
   }
   return now.mono - (now.wall - spec.submittedAt) + allowedWait(state, spec);
--- a/src/core/queue.ts
+++ b/src/core/queue.ts
@@ -17,21 +17,24 @@
   return spec.submittedAt + spec.deadlineS * 1000 * times - now.wall;
 }
 
-/** How many of its deadline aims a job can no longer meet. */
-export function aimsLost(state: CoreState, job: JobState, now: Now): number {
+/** How many of its aims, to start in time and to be done in time, a job can no longer meet. */
+export function aimsLost(state: CoreState, job: JobState, now: Now): { lost: number; all: number } {
   const { spec } = job;
-  if (spec.deadlineS === null) return 0;
   const needs = expectedRun(state, spec) * (1 - ESTIMATE_DOUBT);
-  let lost = 0;
+  const start = state.rules.startWithin.get(spec.jobClass);
+  let lost = start !== undefined && now.wall - spec.submittedAt > start ? 1 : 0;
+  let all = start === undefined ? 0 : 1;
+  if (spec.deadlineS === null) return { lost, all };
   for (const times of state.rules.deadlineTimes.get(spec.jobClass) ?? [1]) {
+    all += 1;
     if (timeLeft(spec, times, now) < needs) lost += 1;
   }
-  return lost;
+  return { lost, all };
 }
 
 /** Where a job stands within its priority: by group, then by `key`. */
 function standing(state: CoreState, job: JobState, now: Now): { group: number; key: number } {
-  const lost = aimsLost(state, job, now);
+  const { lost } = aimsLost(state, job, now);
   const run = expectedRun(state, job.spec);
   const slack = timeLeft(job.spec, 1, now) - run;
   // Pressed: it has to start within a run time from now to be in time.
@@ -42,7 +45,7 @@
 /**
  * Jobs with waiting tasks that may be tried now: higher priority first, then order of
  * arrival (the order of the stamps). Under overload, arrival order alone would make
- * every job late by the same delay. So a job whose deadline can no longer be met stands
+ * every job late by the same delay. So a job of which some aim can no longer be met stands
  * behind those of its priority that can still meet theirs, and one that must start soon
  * to be in time stands before those that need not, the most pressed first.
  */
