--- a/src/core/queue.ts
+++ b/src/core/queue.ts
@@ -34,13 +34,11 @@
 
 /** Where a job stands within its priority: by group, then by `key`. */
 function standing(state: CoreState, job: JobState, now: Now): { group: number; key: number } {
-  const { lost, all } = aimsLost(state, job, now);
+  const { lost } = aimsLost(state, job, now);
   const run = expectedRun(state, job.spec);
   const slack = timeLeft(job.spec, 1, now) - run;
   // Pressed: it has to start within a run time from now to be in time.
   if (lost === 0 && slack < run) return { group: 0, key: slack };
-  // Late whatever is done: the longest first, so that it is not left over at the end.
-  if (lost > 0 && lost === all) return { group: 1 + lost, key: -run };
   return { group: 1 + lost, key: job.stamp };
 }
 
