--- a/src/core/easy.ts
+++ b/src/core/easy.ts
@@ -5,7 +5,7 @@
  */
 import { isUsable } from './fleet.js';
 import { claimTask, nextTask, waitingTasks } from './ledger.js';
-import { expectedRun, teamUse, waitingJobs } from './queue.js';
+import { expectedRun, isPressed, teamUse, waitingJobs } from './queue.js';
 import { allows, avoids, fetchTime, fits, freeRoom, give, take, type Need, type Room } from './room.js';
 import type { CoreState, Head, JobState, LiveClaim, Machine, Now } from './state.js';
 import type { JobSpec, MachineType } from './types.js';
@@ -145,6 +145,8 @@
   head: Map<Site, Hold>;
   /** Room held for jobs that only one type can take, against jobs with a choice. */
   readonly scarce: Map<Site, Hold>;
+  /** The lowest priority among jobs that room is so held for. */
+  readonly scarcePriority: number;
 }
 
 function choose(pass: Pass, job: JobState, placed: readonly Site[]): { site: Site; end: number } | null {
@@ -152,7 +154,9 @@
   const { spec } = job;
   const open = zoneRule(state, job, placed);
   const run = expectedRun(state, spec);
-  const choosy = pass.scarce.size > 0 && onlyType(state, spec) === null;
+  // A job of higher priority about to miss an aim goes before what the room is held for.
+  const first = spec.priority < pass.scarcePriority && isPressed(state, job, now);
+  const choosy = pass.scarce.size > 0 && !first && onlyType(state, spec) === null;
   let best: { site: Site; end: number; score: number } | null = null;
   for (const site of pass.sites) {
     const { machine, type, free } = site;
@@ -252,8 +256,10 @@
     sites.push({ machine, type, free: freeRoom(machine, type) });
   }
   const queue = waitingJobs(state, now);
-  const pass: Pass = { state, now, sites, largest, head: new Map(), scarce: new Map() };
-  for (const [type, job] of scarceTypes(state, queue)) {
+  const scarceJobs = scarceTypes(state, queue);
+  const scarcePriority = Math.min(...[...scarceJobs.values()].map((job) => job.spec.priority));
+  const pass: Pass = { state, now, sites, largest, head: new Map(), scarce: new Map(), scarcePriority };
+  for (const [type, job] of scarceJobs) {
     for (const site of sites) {
       if (site.machine.type !== type) continue;
       const hold = findShadow(state, [site], job.spec, 1, now)?.holds.get(site);
--- a/src/core/queue.ts
+++ b/src/core/queue.ts
@@ -32,6 +32,15 @@
   return { lost, all };
 }
 
+/** Whether a job still can, but soon no longer will, meet all of its aims. */
+export function isPressed(state: CoreState, job: JobState, now: Now): boolean {
+  const start = state.rules.startWithin.get(job.spec.jobClass) ?? Infinity;
+  const age = now.wall - job.spec.submittedAt;
+  if (aimsLost(state, job, now).lost > 0) return false;
+  const run = expectedRun(state, job.spec);
+  return age > start / 2 || timeLeft(job.spec, 1, now) < 1.5 * run;
+}
+
 /** Where a job stands within its priority: by group, then by `key`. */
 function standing(state: CoreState, job: JobState, now: Now): { group: number; key: number } {
   const { lost } = aimsLost(state, job, now);
