--- a/src/adapters/state.ts
+++ b/src/adapters/state.ts
@@ -39,6 +39,8 @@
   grant(lifeMs: number): Promise<number | null>;
   /** True: renewed; false: it has ended; null: no answer. */
   renew(lease: number): Promise<boolean | null>;
+  /** Ends a lease at once. */
+  revoke(lease: number): Promise<void>;
   /** Steady time at which the latest answered request was sent; null before the first. */
   contactAt(): number | null;
 }
@@ -149,6 +151,10 @@
     return answer.status === 200 ? parseLease(answer.body) : null;
   }
 
+  async revoke(lease: number): Promise<void> {
+    await this.#call('DELETE', `/leases/${lease}`, null, true);
+  }
+
   async renew(lease: number): Promise<boolean | null> {
     const answer = await this.#call('POST', `/leases/${lease}/renew`, '{}', true);
     if (answer.status === 200) return true;
--- a/src/core/easy.ts
+++ b/src/core/easy.ts
@@ -149,14 +149,19 @@
   readonly scarcePriority: number;
 }
 
+/** Whether a job keeps off room held for jobs that only one type can take. */
+function yields({ state, now, scarce, scarcePriority }: Pass, job: JobState): boolean {
+  if (scarce.size === 0 || onlyType(state, job.spec) !== null) return false;
+  // One of higher priority about to miss an aim goes first.
+  return !(job.spec.priority < scarcePriority && isPressed(state, job, now));
+}
+
 function choose(pass: Pass, job: JobState, placed: readonly Site[]): { site: Site; end: number } | null {
   const { state, now } = pass;
   const { spec } = job;
   const open = zoneRule(state, job, placed);
   const run = expectedRun(state, spec);
-  // A job of higher priority about to miss an aim goes before what the room is held for.
-  const first = spec.priority < pass.scarcePriority && isPressed(state, job, now);
-  const choosy = pass.scarce.size > 0 && !first && onlyType(state, spec) === null;
+  const choosy = yields(pass, job);
   let best: { site: Site; end: number; score: number } | null = null;
   for (const site of pass.sites) {
     const { machine, type, free } = site;
@@ -212,11 +217,14 @@
 function reserveFor(pass: Pass, job: JobState, sites: readonly Site[]): ReturnType<typeof findShadow> {
   const { state, now } = pass;
   const open = zoneRule(state, job);
+  // A head that keeps off a machine must not reserve it either: nobody could use it then.
+  const off = yields(pass, job) ? pass.scarce : new Map<Site, Hold>();
   const able = sites.filter(
-    ({ machine }) =>
-      allows(job.spec, machine.type, machine.zone, machine.spot) &&
-      !avoids(job, machine.name) &&
-      open(machine.zone),
+    (site) =>
+      !off.has(site) &&
+      allows(job.spec, site.machine.type, site.machine.zone, site.machine.spot) &&
+      !avoids(job, site.machine.name) &&
+      open(site.machine.zone),
   );
   if (!job.spec.oneZone) return findShadow(state, able, job.spec, together(job), now);
   let best: ReturnType<typeof findShadow> = null;
--- a/src/election.ts
+++ b/src/election.ts
@@ -119,6 +119,8 @@
       const renewed = await this.state.renew(lease);
       if (renewed === false) break;
     }
+    // Whoever stands next need not wait for the lease to run out.
+    if (this.#abandoned) await this.state.revoke(lease);
     this.events.lost();
   }
 }
--- a/src/node.ts
+++ b/src/node.ts
@@ -79,14 +79,14 @@
 /**
  * Workers that lose their node try the next one, and give each some seconds. When zones
  * part, those of the far zone find a deputy within their lease only if the node after
- * the leader is in another zone than the leader. Nodes of which this is not so stand later.
+ * the leader is in another zone than the leader. Nodes of which this is so are to lead.
  */
-function electionHandicap(settings: PlatformSettings): number {
+function wellPlaced(settings: PlatformSettings): Set<string> {
   const { host_name, zone, others } = settings;
   const nodes = [{ host_name, zone }, ...others].sort((a, b) => (a.host_name < b.host_name ? -1 : 1));
-  const next = nodes[(nodes.findIndex((node) => node.host_name === host_name) + 1) % nodes.length];
   const several = nodes.some((node) => node.zone !== zone);
-  return several && next?.zone === zone ? 4 * timing(settings).tick : 0;
+  const found = nodes.filter((node, i) => !several || nodes[(i + 1) % nodes.length]?.zone !== node.zone);
+  return new Set(found.map((node) => node.host_name));
 }
 
 /** What a controller needs of the world around it. */
@@ -104,12 +104,15 @@
 interface HeardStatus {
   readonly status: PeerStatus;
   readonly at: number;
+  /** Steady time from which this life of it has been heard without a gap. */
+  readonly since: number;
 }
 
 export class ControllerNode {
   readonly users: Users;
   readonly latencies = new Latencies();
   readonly #timing: Timing;
+  readonly #wellPlaced: ReadonlySet<string>;
   readonly #state: StateService;
   readonly #cloud: Cloud;
   readonly #clock: Clock;
@@ -133,6 +136,7 @@
   ) {
     const { state, clock, log, incarnation } = ports;
     this.#timing = timing(settings);
+    this.#wellPlaced = wellPlaced(settings);
     this.#state = state;
     this.#cloud = ports.cloud;
     this.#clock = clock;
@@ -159,7 +163,7 @@
           this.#highestTerm = Math.max(this.#highestTerm, leader?.term ?? 0);
         },
       },
-      electionHandicap(settings),
+      this.#wellPlaced.has(settings.host_name) ? 0 : 4 * this.#timing.tick,
     );
     this.users = new Users({
       state,
@@ -191,9 +195,27 @@
     for (;;) {
       await this.#clock.sleep(often);
       if (this.status().stateAgeMs >= often) await this.#state.read(LEADER_KEY);
+      if (this.#shouldHandOver())
+        this.#owner.push({ kind: 'resign', reason: 'a better placed node is back' });
     }
   }
 
+  /** Whether a node that is to lead rather than this one has been back, and served, for a while. */
+  #shouldHandOver(): boolean {
+    const { leadership } = this.#owner.state;
+    const now = this.#clock.mono();
+    const settled = 0.4 * this.#timing.workerLease;
+    if (leadership === null || this.#wellPlaced.has(this.settings.host_name)) return false;
+    if (now - leadership.since < settled) return false;
+    return [...this.#heard.values()].some(
+      ({ status, at, since }) =>
+        this.#wellPlaced.has(status.node) &&
+        now - at < this.#timing.longestReport &&
+        now - since > settled &&
+        status.stateAgeMs < this.#timing.stateTimeout,
+    );
+  }
+
   async #keepTicking(): Promise<void> {
     for (;;) {
       await this.#clock.sleep(this.#timing.tick);
@@ -230,7 +252,11 @@
   }
 
   onPeer(status: PeerStatus): void {
-    this.#heard.set(status.node, { status, at: this.#clock.mono() });
+    const now = this.#clock.mono();
+    const before = this.#heard.get(status.node);
+    const same =
+      before?.status.incarnation === status.incarnation && now - before.at < 2 * this.#timing.longestReport;
+    this.#heard.set(status.node, { status, at: now, since: same ? before.since : now });
     if (status.term > this.#highestTerm) {
       this.#highestTerm = status.term;
       this.#owner.push({ kind: 'tokenSeen', token: status.term });
--- a/test/easy.test.ts
+++ b/test/easy.test.ts
@@ -1,7 +1,7 @@
 /** The paper's rule, as traces kept beside: commands in (>), effects out (<). */
 import { expect, test } from 'vitest';
 import { mayBackfill } from '../src/core/easy.js';
-import { CoreBench, job, report, task } from './standins/core.js';
+import { CoreBench, EIGHT, job, report, task } from './standins/core.js';
 
 const room = (cpus: number) => ({ cpus, gpus: 0, memoryGb: cpus });
 
@@ -128,3 +128,31 @@
   bench.hear(report('m', 1));
   expect(CoreBench.starts(bench.hear(report('m', 2)))).toEqual(['req-2/0#1']);
 });
+
+/** A small and a large type; a job that only the large one can take waits behind a running one. */
+function scarceLarge(): CoreBench {
+  const large = { ...EIGHT, name: 'large', cpus: 32, memoryGb: 256 };
+  const bench = new CoreBench(0, [EIGHT, large]);
+  bench.hear(report('l', 1, [], { type: 'large' }));
+  bench.add(job('req-1', 1, 16, 100));
+  bench.hear(report('l', 2, [], { type: 'large' }));
+  bench.hear(report('l', 3, [task('req-1/0', 1, 'running')], { type: 'large' }));
+  bench.add(job('req-2', 1, 24, 100));
+  return bench;
+}
+const onLarge = (bench: CoreBench): string[] =>
+  CoreBench.starts(bench.hear(report('l', 4, [task('req-1/0', 1, 'running')], { type: 'large' })));
+
+test('room that only one type has is kept from jobs with a choice, by the same two tests', () => {
+  const bench = scarceLarge();
+  bench.add(job('req-3', 1, 8, 500, { priority: 1, submittedAt: bench.now, deadlineS: 5000 })); // fits the extra room
+  bench.add(job('req-4', 1, 8, 500, { priority: 1, submittedAt: bench.now, deadlineS: 5000 })); // does not any more
+  bench.add(job('req-5', 1, 8, 50, { priority: 1, submittedAt: bench.now, deadlineS: 5000 })); // ends in time
+  expect(onLarge(bench)).toEqual(['req-3/0#1', 'req-5/0#1']);
+});
+
+test('a job of higher priority that must start now goes before what the room is kept for', () => {
+  const bench = scarceLarge();
+  bench.add(job('req-3', 1, 16, 500, { priority: 1, submittedAt: bench.now, deadlineS: 600 }));
+  expect(onLarge(bench)).toEqual(['req-3/0#1']);
+});
--- a/test/server.test.ts
+++ b/test/server.test.ts
@@ -23,6 +23,7 @@
   watch: () => Promise.resolve({ kind: 'unknown' }),
   grant: () => Promise.resolve(null),
   renew: () => Promise.resolve(null),
+  revoke: () => Promise.resolve(),
   contactAt: () => null,
 };
 let types = new Map(TYPES.map((type) => [type.name, type]));
--- a/test/standins/core.ts
+++ b/test/standins/core.ts
@@ -137,10 +137,10 @@
   #stamp = TERM_STAMP;
   #reply = 0;
 
-  constructor(cpusMax = 0) {
+  constructor(cpusMax = 0, types: MachineType[] = [EIGHT]) {
     const settings = testSettings(0, cpusMax);
     this.state = createState('n-0', rulesFor(settings, createPolicy(settings)));
-    step(this.state, [{ kind: 'catalog', types: [EIGHT] }], this.time());
+    step(this.state, [{ kind: 'catalog', types }], this.time());
     step(
       this.state,
       [{ kind: 'lead', term: TERM, stamp: TERM_STAMP, provenAt: this.now, jobs: [], chunks: [], memory: [] }],
--- a/test/standins/serve.ts
+++ b/test/standins/serve.ts
@@ -84,6 +84,10 @@
   const renewed = state.renew(Number(request.params.id));
   response.status(renewed ? 200 : 404).json({});
 });
+app.delete('/leases/:id', (request, response) => {
+  state.revoke(Number(request.params.id));
+  response.json({});
+});
 app.get('/watch', (request: Request, response: Response) => {
   const { prefix, after, waitMs } = request.query;
   state.watch(
--- a/test/standins/state.ts
+++ b/test/standins/state.ts
@@ -129,6 +129,12 @@
     return id;
   }
 
+  revoke(id: number): void {
+    const lease = this.#leases.get(id);
+    if (lease !== undefined) lease.endsAt = 0;
+    this.expire();
+  }
+
   renew(id: number): boolean {
     this.expire();
     const lease = this.#leases.get(id);
@@ -205,6 +211,10 @@
     return answer === 'down' ? null : answer;
   }
 
+  async revoke(lease: number): Promise<void> {
+    await this.#ask(() => this.service.revoke(lease));
+  }
+
   async renew(lease: number): Promise<boolean | null> {
     const answer = await this.#ask(() => this.service.renew(lease));
     return answer === 'down' ? null : answer;
--- a/test/standins/world.ts
+++ b/test/standins/world.ts
@@ -88,6 +88,11 @@
     return NODES.map((name) => this.#lives.get(name)?.node.ready() === true);
   }
 
+  /** The nodes that take themselves for leader. */
+  leaders(): string[] {
+    return NODES.filter((name) => this.#lives.get(name)?.node.status().leading === true);
+  }
+
   start(i: number): void {
     const name = NODES[i] ?? '';
     const settings = testSettings(i, this.cpusMax);
