--- a/src/core/easy.ts
+++ b/src/core/easy.ts
@@ -14,11 +14,16 @@
 /** What an ordinary machine costs a choice against a cheap one that fits as well. */
 const ORDINARY_PENALTY = 1;
 
+/** What it costs a choice to keep a machine busy for the whole of a run more. */
+const LONGER_PENALTY = 0.5;
+
 /** A machine as the placing pass sees it. */
 interface Site {
   readonly machine: Machine;
   readonly type: MachineType;
   readonly free: Room;
+  /** Steady time at which the last of its tasks is expected to end. */
+  busyUntil: number;
 }
 
 /** Room kept for a blocked job on one machine: all of it until `shadow`, `extra` from then on. */
@@ -177,7 +182,10 @@
     if (kept !== undefined && !mayBackfill(kept, spec, end)) continue;
     // Tight fits first, so that large rooms stay whole; a fetch costs its share of the run.
     const left = (free.cpus - spec.cpus) / Math.max(EPSILON, pass.largest);
-    const score = left + fetch / (fetch + run + 1) + (machine.spot ? 0 : ORDINARY_PENALTY);
+    // A machine that is busy until then anyway costs nothing more; another is paid for longer.
+    const longer = Math.max(0, end - Math.max(now.mono, site.busyUntil)) / (fetch + run + 1);
+    const score =
+      left + fetch / (fetch + run + 1) + (machine.spot ? 0 : ORDINARY_PENALTY) + LONGER_PENALTY * longer;
     if (best === null || score < best.score) best = { site, end, score };
   }
   return best;
@@ -185,6 +193,7 @@
 
 function occupy(pass: Pass, job: JobState, site: Site, end: number): void {
   take(site.free, job.spec);
+  site.busyUntil = Math.max(site.busyUntil, end);
   for (const hold of [pass.head.get(site), pass.scarce.get(site)]) {
     if (hold !== undefined && end > hold.shadow) take(hold.extra, job.spec);
   }
@@ -261,7 +270,11 @@
     // Dear machines run dry unless the plan still has a use for them.
     if (!machine.spot && state.planAt > 0 && !state.inPlan.has(machine.name)) continue;
     largest = Math.max(largest, type.cpus);
-    sites.push({ machine, type, free: freeRoom(machine, type) });
+    let busyUntil = now.mono;
+    for (const claim of machine.claims.values()) {
+      busyUntil = Math.max(busyUntil, expectedEnd(state, claim, now));
+    }
+    sites.push({ machine, type, free: freeRoom(machine, type), busyUntil });
   }
   const queue = waitingJobs(state, now);
   const scarceJobs = scarceTypes(state, queue);
