--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -353,11 +353,12 @@
 function zonesApart(state: CoreState, now: Now): Set<string> {
   const { longestReport } = state.rules.timing;
   const zones = new Map<string, { silent: number; all: number }>();
-  for (const { heardAt, zone, leaving } of state.machines.values()) {
-    if (heardAt === null || leaving !== null) continue;
+  for (const { heardAt, knownAt, listed, claims, zone, leaving } of state.machines.values()) {
+    // One still booting says nothing; one that should be up, to a new leader, does.
+    if (leaving !== null || (heardAt === null && listed !== 'running' && claims.size === 0)) continue;
     const counts = zones.get(zone) ?? { silent: 0, all: 0 };
     counts.all += 1;
-    if (now.mono - heardAt > 3 * longestReport) counts.silent += 1;
+    if (now.mono - (heardAt ?? knownAt) > 3 * longestReport) counts.silent += 1;
     zones.set(zone, counts);
   }
   const apart = new Set<string>();
@@ -371,19 +372,21 @@
   const apart = zonesApart(state, now);
   for (const machine of state.machines.values()) {
     if (machine.leaving !== null) continue;
+    const patience = apart.has(machine.zone) ? 3 * timing.workerLease : timing.silence;
     const type = state.types.get(machine.type);
     const boot = (type?.bootS ?? 60) * 1000;
     if (machine.heardAt === null) {
       if (machine.relayedAt !== null && now.mono - machine.relayedAt < timing.silence) continue;
       const expected = machine.listed === 'running' || machine.claims.size > 0;
-      if (expected && now.mono - machine.knownAt > timing.silence) leave(machine, 'never heard');
-      else if (now.mono - machine.rentedAt > 3 * boot && now.mono - machine.knownAt > timing.silence) {
+      const unheard = now.mono - machine.knownAt;
+      if (expected) {
+        if (unheard > patience) leave(machine, 'never heard');
+      } else if (now.mono - machine.rentedAt > 3 * boot && unheard > timing.silence) {
         leave(machine, 'never came up');
       }
       continue;
     }
     const silent = now.mono - Math.max(machine.heardAt, machine.relayedAt ?? 0);
-    const patience = apart.has(machine.zone) ? 3 * timing.workerLease : timing.silence;
     if (silent > patience) leave(machine, 'silent');
     else if (silent > 0.5 * timing.silence) {
       for (const claim of machine.claims.values()) {
--- a/src/deputy.ts
+++ b/src/deputy.ts
@@ -11,7 +11,7 @@
 import type { Clock } from './clock.js';
 import type { Report, WorkerCommand } from './core/types.js';
 import type { Timing } from './settings.js';
-import { deputyKey, JOB_PREFIX, jobOfKey } from './wire/records.js';
+import { deputyKey, JOB_PREFIX, jobOfKey, type DeputyRecord } from './wire/records.js';
 
 export class Deputy {
   readonly #live = new Set<string>();
@@ -93,7 +93,7 @@
       for (const [machine, at] of this.#seen)
         if (now - at > 2 * this.timing.longestReport) this.#seen.delete(machine);
       if (this.#seen.size > 0) {
-        const value = { machines: [...this.#seen.keys()] };
+        const value: DeputyRecord = { at: this.clock.wall(), machines: [...this.#seen.keys()] };
         await this.state.commit({ when: [], apply: [{ put: deputyKey(this.node), value }] });
       }
       await this.clock.sleep(2 * this.timing.longestReport);
--- a/src/node.ts
+++ b/src/node.ts
@@ -346,7 +346,8 @@
 
   /** Reads, while some machine is silent, which of them deputies hear. */
   async #keepRelays(): Promise<void> {
-    const stamps = new Map<string, number>();
+    // Clocks agree within a bound, and a deputy speaks every other longest report.
+    const young = 0.5 * this.#timing.workerLease + 2 * this.settings.cluster.clock_error_ms;
     for (;;) {
       await this.#clock.sleep(2 * this.#timing.longestReport);
       const { leadership, machines } = this.#owner.state;
@@ -358,11 +359,10 @@
       if (!silent) continue;
       const found = await this.#state.list(DEPUTY_PREFIX);
       if (found === 'unknown') continue;
-      for (const { key, value, stamp } of found.entries) {
-        // Only what was written since the last look tells of the present.
-        const fresh = stamps.has(key) && stamps.get(key) !== stamp;
-        stamps.set(key, stamp);
-        if (fresh) this.#owner.push({ kind: 'relayed', machines: decodeDeputy(value) });
+      for (const { value } of found.entries) {
+        const record = decodeDeputy(value);
+        if (record === null || Math.abs(this.#clock.wall() - record.at) > young) continue;
+        this.#owner.push({ kind: 'relayed', machines: record.machines });
       }
     }
   }
--- a/src/wire/records.ts
+++ b/src/wire/records.ts
@@ -12,9 +12,16 @@
 
 export const deputyKey = (node: string): string => DEPUTY_PREFIX + node;
 
-export function decodeDeputy(value: unknown): string[] {
-  const machines = asObject(value)?.['machines'];
-  return Array.isArray(machines) ? machines.filter(isText) : [];
+/** Machines a deputy hears, and the time of day at which it said so. */
+export interface DeputyRecord {
+  readonly at: number;
+  readonly machines: readonly string[];
+}
+
+export function decodeDeputy(value: unknown): DeputyRecord | null {
+  const raw = asObject(value);
+  if (raw === null || !isAmount(raw['at']) || !Array.isArray(raw['machines'])) return null;
+  return { at: raw['at'], machines: raw['machines'].filter(isText) };
 }
 
 export const jobKey = (id: string): string => JOB_PREFIX + id;
--- a/test/guards.test.ts
+++ b/test/guards.test.ts
@@ -162,6 +162,24 @@
   expect(bench.do({ kind: 'tick' })).toContainEqual({ kind: 'return', machines: far });
 });
 
+test('a new leader waits likewise for a zone of which it hears nobody', () => {
+  // A crash of the leader while zones were apart had ten machines given back with their tasks.
+  const bench = new CoreBench();
+  const listed = ['p', 'q', 'r', 's'].map((name) => ({
+    name,
+    address: '10.0.0.1:1',
+    type: 'eight',
+    zone: 'b',
+    spot: true,
+    stage: 'running' as const,
+    ageS: 100,
+  }));
+  bench.do({ kind: 'listed', askedAt: bench.now, machines: listed });
+  bench.now += bench.state.rules.timing.silence + 1000;
+  bench.hear(report('m', 1));
+  expect(kinds(bench.do({ kind: 'tick' }))).not.toContain('return');
+});
+
 test('proof: a failed return frees nothing and is tried again', () => {
   const bench = runningOn();
   bench.now += 12_000;
