--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -354,6 +354,8 @@
   const { longestReport } = state.rules.timing;
   const zones = new Map<string, { silent: number; all: number }>();
   for (const { heardAt, knownAt, listed, claims, zone, leaving } of state.machines.values()) {
+    // A machine known from claims alone, listed nowhere, is of no known zone, and likely gone.
+    if (zone === '') continue;
     // One still booting says nothing; one that should be up, to a new leader, does.
     if (leaving !== null || (heardAt === null && listed !== 'running' && claims.size === 0)) continue;
     const counts = zones.get(zone) ?? { silent: 0, all: 0 };
--- a/test/guards.test.ts
+++ b/test/guards.test.ts
@@ -190,6 +190,25 @@
   expect(bench.do({ kind: 'tick' })).toContainEqual({ kind: 'return', machines: far.slice(1) });
 });
 
+test('machines that a new leader knows from claims alone are no zone of their own', () => {
+  // They had been withdrawn, stood in no list, and were waited for like a zone cut off.
+  const bench = new CoreBench();
+  const claim = (machine: string) => ({ attempt: 1, machine, session: 1, madeAt: bench.now });
+  const claims = { 0: claim('p'), 1: claim('q'), 2: claim('r') };
+  const record = { team: 'crew', cpus: 4, gpus: 0, memoryGb: 1, done: '', attempts: {}, claims };
+  bench.do({
+    kind: 'lead',
+    term: TERM,
+    stamp: 100,
+    provenAt: bench.now,
+    memory: [],
+    jobs: [{ value: job('req-1', 3, 4, 50), stamp: 50 }],
+    chunks: [{ job: 'req-1', chunk: 0, record: { value: record, stamp: 60 } }],
+  });
+  bench.now += bench.state.rules.timing.silence + 1000;
+  expect(bench.do({ kind: 'tick' })).toContainEqual({ kind: 'return', machines: ['p', 'q', 'r'] });
+});
+
 test('proof: a failed return frees nothing and is tried again', () => {
   const bench = runningOn();
   bench.now += 12_000;
