Room kept ready ends two boots after the last arrival at the latest

Cause: the loopback trial found two machines rented with nothing to do for a minute: a class seen a few times has no usual gap yet, and its room was kept for 200 s. Ruled out: the idle hold (half a boot).

--- a/src/core/capacity.ts
+++ b/src/core/capacity.ts
@@ -273,8 +273,6 @@
 function keepReady(plan: Plan, demand: Demand): void {
   const { state, now } = plan;
   const { spec, peak, arrivedAt, gap } = demand;
-  // None has come for long, by its own measure: no more are expected.
-  if (now.mono - arrivedAt > ARRIVALS_OVER * gap) return;
   const choosy = onlyType(state, spec) === null;
   const kinds = kindsFor(state, spec, plan.scarce, choosy, now);
   const wait = allowedWait(state, spec);
@@ -282,6 +280,8 @@
     ...[...state.types.values()].map((type) => (fits(spec, type) ? type.bootS : Infinity)),
   );
   if (wait > boot * 1000) return;
+  // None has come for long, by its own measure or by that of a boot: no more are expected.
+  if (now.mono - arrivedAt > Math.min(ARRIVALS_OVER * gap, 2000 * boot)) return;
   let missing = Math.ceil(peak * state.rules.policy.headroom(spec));
   for (const spot of [true, false]) {
     for (const one of plan.machines) {
