Planning and writing cost what changed; exits share a write, starts come first

Planning took tasks x machines x ends, the shadow time sorted all ends of all machines, each batch walked all jobs and machines, each exit cost a write. Kept: the choices.

--- a/src/core/capacity.ts
+++ b/src/core/capacity.ts
@@ -45,16 +45,16 @@
 const kindKey = (type: string, zone: string, spot: boolean): string =>
   `${type}/${zone}/${spot ? 'spot' : 'ordinary'}`;
 
-/** When a task that needs so much could start on a planned machine. */
-function earliest(planned: Planned, need: Need): number | null {
-  if (!fits(need, planned.type)) return null;
+/** When a task that needs so much could start on a planned machine; Infinity: never. */
+function earliest(planned: Planned, need: Need): number {
+  if (!fits(need, planned.type)) return Infinity;
+  if (fits(need, planned.free)) return planned.readyAt;
   const free = { ...planned.free };
-  if (fits(need, free)) return planned.readyAt;
   for (const { at, room } of planned.ends) {
     give(free, room);
     if (fits(need, free)) return Math.max(planned.readyAt, at);
   }
-  return null;
+  return Infinity;
 }
 
 function occupy(planned: Planned, need: Need, from: number, until: number): void {
@@ -220,37 +220,93 @@
   readonly wanted: Map<string, { kind: Kind; count: number }>;
 }
 
+/**
+ * Planned machines open to the tasks of one job, and the earliest start that each offers.
+ * Only the machine that a task is put on has to be looked at again, so that a plan's cost
+ * follows tasks plus machines, not their product with all ends.
+ */
+export class Openings {
+  readonly #starts: number[];
+
+  constructor(
+    readonly machines: Planned[],
+    private readonly need: Need,
+  ) {
+    this.#starts = machines.map((one) => earliest(one, need));
+  }
+
+  add(one: Planned): void {
+    this.machines.push(one);
+    this.#starts.push(earliest(one, this.need));
+  }
+
+  /** The machine with the earliest start, the first of several; -1 if none ever has room. */
+  first(): number {
+    let best = -1;
+    let start = Infinity;
+    for (let i = 0; i < this.#starts.length; i += 1) {
+      const at = this.#starts[i] ?? Infinity;
+      if (at < start) {
+        best = i;
+        start = at;
+      }
+    }
+    return best;
+  }
+
+  startAt(index: number): number {
+    return this.#starts[index] ?? Infinity;
+  }
+
+  occupy(index: number, until: number): void {
+    const one = this.machines[index];
+    if (one === undefined) return;
+    occupy(one, this.need, this.startAt(index), until);
+    this.#starts[index] = earliest(one, this.need);
+  }
+}
+
 /** Finds each task its earliest start, on one more machine if it would be too late otherwise. */
 function planTasks(plan: Plan, job: JobState, count: number, latest: number, choosy: boolean): void {
   const { state, now, machines } = plan;
   const { spec } = job;
   const run = spec.form === 'service' ? Infinity : expectedRun(state, spec);
   const kind = kindsFor(state, spec, plan.scarce, choosy, now)[0];
+  const mayUse = (one: Planned): boolean =>
+    allows(spec, one.type.name, one.zone, one.spot) &&
+    !(choosy && plan.scarce.has(one.type.name)) &&
+    !(one.machine !== null && avoids(job, one.machine));
+  const open = machines.filter(mayUse);
+  const cheap = new Openings(
+    open.filter((one) => one.spot),
+    spec,
+  );
+  const dear = new Openings(
+    open.filter((one) => !one.spot),
+    spec,
+  );
   for (let left = Math.min(count, MOST_PLANNED); left > 0; left -= 1) {
-    let best: Planned | null = null;
-    let start = Infinity;
+    let among = cheap;
+    let best = cheap.first();
     // Dear machines are for what would be too late on the cheap ones.
-    for (const spot of [true, false]) {
-      if (best !== null && start <= latest) break;
-      for (const one of machines) {
-        if (one.spot !== spot || !allows(spec, one.type.name, one.zone, spot)) continue;
-        if (choosy && plan.scarce.has(one.type.name)) continue;
-        if (one.machine !== null && avoids(job, one.machine)) continue;
-        const at = earliest(one, spec);
-        if (at !== null && at < start) {
-          best = one;
-          start = at;
-        }
+    if (cheap.startAt(best) > latest) {
+      const other = dear.first();
+      if (dear.startAt(other) < cheap.startAt(best)) {
+        among = dear;
+        best = other;
       }
     }
+    const start = among.startAt(best);
     if (kind !== undefined && start > latest && start > now.mono + kind.type.bootS * 1000) {
       want(plan, kind, 1);
-      best = newMachine(kind.type, kind.zone, kind.spot, now);
-      start = best.readyAt;
-      machines.push(best);
+      const rented = newMachine(kind.type, kind.zone, kind.spot, now);
+      machines.push(rented);
+      among = kind.spot ? cheap : dear;
+      best = among.machines.length;
+      among.add(rented);
     }
-    if (best === null) break;
-    occupy(best, spec, start, start + run);
+    if (best < 0) break;
+    among.occupy(best, among.startAt(best) + run);
   }
 }
 
--- a/src/core/easy.ts
+++ b/src/core/easy.ts
@@ -74,6 +74,7 @@
   count: number,
   now: Now,
 ): { at: number; holds: Map<Site, Hold> } | null {
+  if (count === 1) return shadowOfOne(state, sites, need, now);
   const room = new Map(sites.map((site) => [site, { ...site.free }]));
   const fitting = (site: Site): number => {
     const trial = { ...(room.get(site) ?? site.free) };
@@ -113,6 +114,42 @@
   return { at, holds };
 }
 
+/**
+ * The same for a single task, which needs just one machine: each is walked by itself
+ * to the end at which the task fits, and no further than the earliest found so far.
+ */
+function shadowOfOne(
+  state: CoreState,
+  sites: readonly Site[],
+  need: Need,
+  now: Now,
+): { at: number; holds: Map<Site, Hold> } | null {
+  let best: { at: number; site: Site; room: Room } | null = null;
+  for (const site of sites) {
+    if (fits(need, site.free)) {
+      best = { at: now.mono, site, room: { ...site.free } };
+      break;
+    }
+    if (!fits(need, site.type)) continue;
+    const ends: { at: number; claim: LiveClaim }[] = [];
+    for (const claim of site.machine.claims.values()) {
+      const at = expectedEnd(state, claim, now);
+      if (at < (best?.at ?? Infinity)) ends.push({ at, claim });
+    }
+    ends.sort((a, b) => a.at - b.at);
+    const room = { ...site.free };
+    for (const { at, claim } of ends) {
+      give(room, claim.job.spec);
+      if (!fits(need, room)) continue;
+      best = { at, site, room };
+      break;
+    }
+  }
+  if (best === null) return null;
+  take(best.room, need);
+  return { at: best.at, holds: new Map([[best.site, { shadow: best.at, extra: best.room }]]) };
+}
+
 /** The paper's two tests, on a machine on which room is held. */
 export function mayBackfill(hold: Hold, need: Need, end: number): boolean {
   return end <= hold.shadow || fits(need, hold.extra);
--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -49,6 +49,20 @@
   return machine;
 }
 
+/** Keeps a report until it is answered. */
+export function hold(state: CoreState, machine: Machine, reply: number, now: Now): void {
+  machine.held = { reply, since: now.mono };
+  state.held.add(machine);
+}
+
+/** The report that waits for an answer, which the caller gives now; null if there is none. */
+export function release(state: CoreState, machine: Machine): Machine['held'] {
+  const { held } = machine;
+  machine.held = null;
+  state.held.delete(machine);
+  return held;
+}
+
 export function leave(machine: Machine, reason: string): void {
   machine.leaving ??= reason;
 }
@@ -224,7 +238,6 @@
   for (const claim of machine.claims.values()) {
     if (!claim.sent && claim.job.over === null && !isDurable(state, claim)) return true;
   }
-  for (const exit of machine.exits.values()) if (!isExitKept(exit)) return true;
   return false;
 }
 
@@ -268,10 +281,9 @@
 }
 
 export function answer(state: CoreState, machine: Machine, effects: Effect[]): void {
-  const held = machine.held;
   const lead = state.leadership;
+  const held = release(state, machine);
   if (held === null || lead === null) return;
-  machine.held = null;
   effects.push({
     kind: 'reply',
     reply: held.reply,
@@ -286,9 +298,8 @@
     const machine = state.machines.get(name);
     if (machine === undefined) continue;
     for (const claim of [...machine.claims.values()]) releaseClaim(state, claim, false);
-    if (machine.held !== null) {
-      effects.push({ kind: 'reply', reply: machine.held.reply, body: { kind: 'unable' } });
-    }
+    const held = release(state, machine);
+    if (held !== null) effects.push({ kind: 'reply', reply: held.reply, body: { kind: 'unable' } });
     state.machines.delete(name);
     state.placeDirty = true;
   }
@@ -332,6 +343,10 @@
   if (lead === null) return;
   for (const machine of state.machines.values()) {
     if (machine.whole || machine.address === '' || machine.session === 0) continue;
+    // The answer to its report raises the token by itself; a connection to each worker
+    // besides, right after a takeover, would cost the leader what it needs to hear them.
+    const heard = machine.heardAt ?? machine.knownAt;
+    if (now.mono - heard < 2 * state.rules.timing.longestReport) continue;
     if (machine.raisedAt !== null && now.mono - machine.raisedAt < state.rules.timing.longestReport) continue;
     machine.raisedAt = now.mono;
     effects.push({
--- a/src/core/ledger.ts
+++ b/src/core/ledger.ts
@@ -34,6 +34,7 @@
     failedOn: new Set(),
   };
   state.jobs.set(job.value.id, added);
+  if (over !== null) state.unsaved.add(added);
   state.placeDirty = true;
   return added;
 }
@@ -42,7 +43,7 @@
   const index = Math.floor(task / state.rules.chunkTasks);
   let chunk = job.chunks.get(index);
   if (chunk === undefined) {
-    chunk = { index, stamp: 0, version: 0, committed: 0 };
+    chunk = { index, stamp: 0, version: 0, committed: 0, claimed: 0, waitsFrom: null };
     job.chunks.set(index, chunk);
   }
   return chunk;
@@ -51,6 +52,7 @@
 function touch(state: CoreState, job: JobState, task: number): Chunk {
   const chunk = chunkOf(state, job, task);
   chunk.version += 1;
+  state.unsaved.add(job);
   return chunk;
 }
 
@@ -89,6 +91,8 @@
 ): void {
   const attempt = (job.attempts.get(task) ?? 0) + 1;
   job.attempts.set(task, attempt);
+  const chunk = touch(state, job, task);
+  chunk.claimed = chunk.version;
   const claim: LiveClaim = {
     job,
     task,
@@ -96,7 +100,7 @@
     machine: machine.name,
     session: machine.session,
     madeAt: now.wall,
-    version: touch(state, job, task).version,
+    version: chunk.version,
     sent: false,
     stage: null,
     runningSince: null,
@@ -138,6 +142,7 @@
 /** A job that ended: its tasks are stopped, and its records go once none can be on a machine. */
 export function endJob(state: CoreState, job: JobState, stage: FinalStage): void {
   job.over = stage;
+  state.unsaved.add(job);
   state.placeDirty = true;
 }
 
@@ -212,6 +217,7 @@
   if (job === undefined || (job.over !== null && job.spec.tasks <= loaded.chunk * state.rules.chunkTasks)) {
     const earlier = job;
     state.jobs.delete(loaded.job);
+    if (earlier !== undefined) state.unsaved.delete(earlier);
     const spec = endedSpec(loaded.job, loaded.chunk, state.rules.chunkTasks, record.value);
     job = addJob(state, { value: spec, stamp: 0 }, 'withdrawn');
     for (const [index, chunk] of earlier?.chunks ?? []) job.chunks.set(index, chunk);
@@ -221,7 +227,14 @@
       machineOf(claim.machine).claims.set(taskKey(loaded.job, task), moved);
     }
   }
-  const chunk: Chunk = { index: loaded.chunk, stamp: record.stamp, version: 1, committed: 1 };
+  const chunk: Chunk = {
+    index: loaded.chunk,
+    stamp: record.stamp,
+    version: 1,
+    committed: 1,
+    claimed: 0,
+    waitsFrom: null,
+  };
   job.chunks.set(loaded.chunk, chunk);
   const first = loaded.chunk * state.rules.chunkTasks;
   const bits = Buffer.from(record.value.done, 'base64');
@@ -255,6 +268,110 @@
 const isComplete = (job: JobState): boolean =>
   job.over === null && job.spec.form !== 'service' && job.doneCount === job.spec.tasks;
 
+/** What a job's next write is for; the first is written first when not all fit. */
+const RANKS = ['start', 'end', 'exit', 'clean'] as const;
+type Rank = (typeof RANKS)[number];
+
+/** Whether a chunk holds a claim whose start waits for its commit. */
+const holdsStart = (chunk: Chunk): boolean => chunk.claimed > chunk.committed;
+
+/**
+ * Whether a chunk is to be written now. Exits can wait a little, for others of the job to
+ * share their write: until then the worker keeps them in its reports, and the end of the
+ * job itself does not wait for them.
+ */
+function isDue(state: CoreState, chunk: Chunk, now: Now): boolean {
+  if (chunk.stamp === null || chunk.version === chunk.committed) return false;
+  if (holdsStart(chunk)) return true;
+  chunk.waitsFrom ??= now.mono;
+  return now.mono - chunk.waitsFrom >= state.rules.timing.exitHold;
+}
+
+function rankOf(job: JobState): Rank {
+  if (job.over !== null) return 'clean';
+  if (isComplete(job)) return 'end';
+  for (const chunk of job.chunks.values()) if (holdsStart(chunk)) return 'start';
+  return 'exit';
+}
+
+/** Jobs that have something to write, in the order in which it is written. */
+function toWrite(state: CoreState): JobState[] {
+  const byRank = new Map<Rank, JobState[]>(RANKS.map((rank) => [rank, []]));
+  for (const job of state.unsaved) byRank.get(rankOf(job))?.push(job);
+  byRank.get('start')?.sort((a, b) => a.spec.priority - b.spec.priority);
+  return RANKS.flatMap((rank) => byRank.get(rank) ?? []);
+}
+
+interface Draft {
+  readonly when: Condition[];
+  readonly apply: Write[];
+  readonly chunks: { job: JobState; chunk: Chunk; version: number }[];
+  readonly ending: JobState[];
+  /** Bytes that may still be added. */
+  bytes: number;
+}
+
+function removeChunk(draft: Draft, job: JobState, chunk: Chunk, stamp: number): void {
+  const key = chunkKey(job.spec.id, chunk.index);
+  draft.when.push({ key, stamp });
+  draft.apply.push({ remove: key });
+  draft.chunks.push({ job, chunk, version: chunk.version });
+}
+
+/** Removes the chunks of a job that ended, those of which no task can be on a machine. */
+function draftCleaning(state: CoreState, draft: Draft, job: JobState, most: number): void {
+  for (const chunk of job.chunks.values()) {
+    if (draft.apply.length >= most) return;
+    if (chunk.stamp === null || claimsIn(state, job, chunk) > 0) continue;
+    if (chunk.stamp === 0) job.chunks.delete(chunk.index);
+    else removeChunk(draft, job, chunk, chunk.stamp);
+  }
+  if (job.chunks.size === 0 && job.claims.size === 0) state.jobs.delete(job.spec.id);
+}
+
+function draftEnding(draft: Draft, job: JobState, most: number): void {
+  if (draft.apply.length + 2 > most) return;
+  const { id, tasks } = job.spec;
+  draft.when.push({ key: jobKey(id), stamp: job.stamp });
+  draft.apply.push({ remove: jobKey(id) });
+  draft.apply.push({ put: endedKey(id), value: { stage: 'done', tasks, done: job.doneCount } });
+  draft.ending.push(job);
+  const [only] = job.chunks.values();
+  const lone = only !== undefined && job.chunks.size === 1 && job.claims.size === 0;
+  if (lone && only.stamp !== null && only.stamp > 0 && draft.apply.length < most)
+    removeChunk(draft, job, only, only.stamp);
+}
+
+function draftChunks(state: CoreState, draft: Draft, job: JobState, most: number, now: Now): void {
+  const { id } = job.spec;
+  let guarded = false;
+  for (const chunk of job.chunks.values()) {
+    if (draft.apply.length >= most || draft.bytes <= 0) return;
+    if (chunk.stamp === null || !isDue(state, chunk, now)) continue;
+    const value = encodeChunk(chunkRecord(state, job, chunk));
+    draft.bytes -= JSON.stringify(value).length + 200;
+    // The job's own stamp: once its user has been told that it is cancelled,
+    // no start of it can be committed any more.
+    if (!guarded) draft.when.push({ key: jobKey(id), stamp: job.stamp });
+    guarded = true;
+    draft.when.push({ key: chunkKey(id, chunk.index), stamp: chunk.stamp });
+    draft.apply.push({ put: chunkKey(id, chunk.index), value });
+    draft.chunks.push({ job, chunk, version: chunk.version });
+  }
+}
+
+/** Whether anything of a job is left to be written, now or later. */
+function isSaved(state: CoreState, job: JobState): boolean {
+  if (isComplete(job)) return false;
+  for (const chunk of job.chunks.values()) {
+    if (chunk.stamp === null) return false;
+    // What still holds a claim is looked at again when that is released.
+    const saved = job.over === null ? chunk.version === chunk.committed : claimsIn(state, job, chunk) > 0;
+    if (!saved) return false;
+  }
+  return true;
+}
+
 /**
  * The next transaction, if one is due. Only one is ever under way, and each chunk is
  * written on condition of its own stamp, so a transaction that is applied late can
@@ -265,68 +382,23 @@
   if (lead === null || state.commit !== null || state.recheck !== null || now.mono < state.commitNotBefore) {
     return null;
   }
-  const when: Condition[] = [{ key: TERM_KEY, stamp: lead.stamp }];
-  const apply: Write[] = [];
-  const chunks: { job: JobState; chunk: Chunk; version: number }[] = [];
-  const ending: JobState[] = [];
-  const max = state.rules.txnOps;
-  // 64 KiB a transaction, with room for the conditions and the envelope.
-  let bytes = 48 * 1024;
-  for (const job of state.jobs.values()) {
-    if (apply.length >= max || bytes <= 0) break;
-    const { id } = job.spec;
-    if (job.over !== null) {
-      for (const chunk of job.chunks.values()) {
-        if (apply.length >= max) break;
-        if (chunk.stamp === null || claimsIn(state, job, chunk) > 0) continue;
-        if (chunk.stamp === 0) {
-          job.chunks.delete(chunk.index);
-          continue;
-        }
-        when.push({ key: chunkKey(id, chunk.index), stamp: chunk.stamp });
-        apply.push({ remove: chunkKey(id, chunk.index) });
-        chunks.push({ job, chunk, version: chunk.version });
-      }
-      if (job.chunks.size === 0 && job.claims.size === 0) state.jobs.delete(id);
-    } else if (isComplete(job)) {
-      if (apply.length + 2 > max) break;
-      when.push({ key: jobKey(id), stamp: job.stamp });
-      apply.push({ remove: jobKey(id) });
-      apply.push({
-        put: endedKey(id),
-        value: { stage: 'done', tasks: job.spec.tasks, done: job.doneCount },
-      });
-      ending.push(job);
-      const [only] = job.chunks.values();
-      if (
-        only !== undefined &&
-        job.chunks.size === 1 &&
-        only.stamp !== null &&
-        only.stamp > 0 &&
-        job.claims.size === 0 &&
-        apply.length < max
-      ) {
-        when.push({ key: chunkKey(id, only.index), stamp: only.stamp });
-        apply.push({ remove: chunkKey(id, only.index) });
-        chunks.push({ job, chunk: only, version: only.version });
-      }
-    } else {
-      let guarded = false;
-      for (const chunk of job.chunks.values()) {
-        if (apply.length >= max || bytes <= 0) break;
-        if (chunk.stamp === null || chunk.version === chunk.committed) continue;
-        const value = encodeChunk(chunkRecord(state, job, chunk));
-        bytes -= JSON.stringify(value).length + 200;
-        // The job's own stamp: once its user has been told that it is cancelled,
-        // no start of it can be committed any more.
-        if (!guarded) when.push({ key: jobKey(id), stamp: job.stamp });
-        guarded = true;
-        when.push({ key: chunkKey(id, chunk.index), stamp: chunk.stamp });
-        apply.push({ put: chunkKey(id, chunk.index), value });
-        chunks.push({ job, chunk, version: chunk.version });
-      }
-    }
+  const draft: Draft = {
+    when: [{ key: TERM_KEY, stamp: lead.stamp }],
+    apply: [],
+    chunks: [],
+    ending: [],
+    // 64 KiB a transaction, with room for the conditions and the envelope.
+    bytes: 48 * 1024,
+  };
+  const most = state.rules.txnOps;
+  for (const job of toWrite(state)) {
+    if (draft.apply.length >= most || draft.bytes <= 0) break;
+    if (job.over !== null) draftCleaning(state, draft, job, most);
+    else if (isComplete(job)) draftEnding(draft, job, most);
+    else draftChunks(state, draft, job, most, now);
+    if (isSaved(state, job)) state.unsaved.delete(job);
   }
+  const { when, apply, chunks, ending } = draft;
   if (apply.length === 0) return null;
   const commit: CommitInFlight = { id: state.nextCommit++, chunks, ending };
   state.commit = commit;
@@ -346,6 +418,7 @@
   if (outcome.kind === 'applied') {
     for (const { job, chunk, version } of commit.chunks) {
       chunk.committed = version;
+      chunk.waitsFrom = null;
       if (job.over !== null || commit.ending.includes(job)) job.chunks.delete(chunk.index);
       else chunk.stamp = outcome.revision;
     }
--- a/src/core/state.ts
+++ b/src/core/state.ts
@@ -81,6 +81,10 @@
   stamp: number | null;
   version: number;
   committed: number;
+  /** Version that the latest claim in it came with. */
+  claimed: number;
+  /** Steady time since which changes that can wait have waited to be written. */
+  waitsFrom: number | null;
 }
 
 export interface JobState {
@@ -174,6 +178,10 @@
   types: ReadonlyMap<string, MachineType>;
   readonly jobs: Map<string, JobState>;
   readonly machines: Map<string, Machine>;
+  /** Machines whose report waits for an answer. */
+  readonly held: Set<Machine>;
+  /** Jobs of which something may have to be written, those waiting longest first. */
+  readonly unsaved: Set<JobState>;
   /** Machines given back, by name, oldest first; bounded. */
   readonly gone: Set<string>;
   readonly rentals: Map<string, Rental>;
@@ -225,6 +233,8 @@
     types: new Map(),
     jobs: new Map(),
     machines: new Map(),
+    held: new Set(),
+    unsaved: new Set(),
     gone: new Set(),
     rentals: new Map(),
     refusedUntil: new Map(),
@@ -249,6 +259,8 @@
   state.leadership = null;
   state.jobs.clear();
   state.machines.clear();
+  state.held.clear();
+  state.unsaved.clear();
   state.gone.clear();
   state.rentals.clear();
   state.refusedUntil.clear();
--- a/src/core/step.ts
+++ b/src/core/step.ts
@@ -6,10 +6,12 @@
   answer,
   awaitsCommit,
   dropReturned,
+  hold,
   judgeMachines,
   log,
   machineNamed,
   raiseTokens,
+  release,
   takeList,
   takeReport,
 } from './fleet.js';
@@ -18,15 +20,14 @@
 
 function resign(state: CoreState, reason: string, effects: Effect[]): void {
   if (state.leadership === null) return;
-  for (const machine of state.machines.values()) refuse(machine, effects);
+  for (const machine of [...state.held]) refuse(state, machine, effects);
   forgetLeadership(state);
   effects.push({ kind: 'steppedDown', reason });
 }
 
-function refuse(machine: Machine, effects: Effect[]): void {
-  if (machine.held === null) return;
-  effects.push({ kind: 'reply', reply: machine.held.reply, body: { kind: 'unable' } });
-  machine.held = null;
+function refuse(state: CoreState, machine: Machine, effects: Effect[]): void {
+  const held = release(state, machine);
+  if (held !== null) effects.push({ kind: 'reply', reply: held.reply, body: { kind: 'unable' } });
 }
 
 function removeJob(state: CoreState, id: string): void {
@@ -61,8 +62,8 @@
   }
   const machine = machineNamed(state, report.machine, now);
   // The worker has given up on its earlier report, and drops what would answer it.
-  refuse(machine, effects);
-  machine.held = { reply, since: now.mono };
+  refuse(state, machine, effects);
+  hold(state, machine, reply, now);
 }
 
 function apply(state: CoreState, command: Command, now: Now, effects: Effect[]): void {
@@ -173,9 +174,9 @@
 }
 
 function answerReports(state: CoreState, now: Now, effects: Effect[]): void {
-  for (const machine of state.machines.values()) {
+  for (const machine of [...state.held]) {
     if (machine.held === null) continue;
-    if (!hasAuthority(state, now)) refuse(machine, effects);
+    if (!hasAuthority(state, now)) refuse(state, machine, effects);
     else if (!awaitsCommit(state, machine) || now.mono - machine.held.since >= state.rules.timing.replyHold) {
       answer(state, machine, effects);
     }
--- a/src/settings.ts
+++ b/src/settings.ts
@@ -111,6 +111,8 @@
   /** Bound on one request to the state service. */
   readonly stateTimeout: number;
   readonly tick: number;
+  /** How long an exit may wait to be written together with others of its job. */
+  readonly exitHold: number;
   /** How long a report may wait for the commit that its starts need. */
   readonly replyHold: number;
 }
@@ -132,6 +134,7 @@
     watchWait: 0.1 * lease,
     stateTimeout: 0.15 * lease,
     tick: 0.25 * report,
+    exitHold: 0.2 * lease,
     replyHold: 0.25 * report,
   };
 }
