A task with a start aim goes where its image is, or comes soonest

An image on its way for another task counted as there. Ruled out: the place in the queue, the write before the start (both under 100 ms).

--- a/src/core/easy.ts
+++ b/src/core/easy.ts
@@ -17,6 +17,9 @@
 /** What it costs a choice to keep a machine busy for the whole of a run more. */
 const LONGER_PENALTY = 0.5;
 
+/** What it costs a choice to miss the start aim of a task for want of its image. */
+const MISS_PENALTY = 1.5;
+
 /** A machine as the placing pass sees it. */
 interface Site {
   readonly machine: Machine;
@@ -198,12 +201,26 @@
   return !(job.spec.priority < scarcePriority && isPressed(state, job, now));
 }
 
+/** Steady time by which a job's tasks are to start; Infinity where no aim speaks of it. */
+function startTime(state: CoreState, spec: JobSpec, now: Now): number {
+  const within = state.rules.startWithin.get(spec.jobClass);
+  return within === undefined ? Infinity : now.mono - (now.wall - spec.submittedAt) + within;
+}
+
+/** A start travels in the answer to a report; so long until the next is due at the latest. */
+function untilReport(state: CoreState, machine: Machine, now: Now): number {
+  if (machine.held !== null || machine.heardAt === null) return 0;
+  return Math.max(0, machine.heardAt + state.rules.timing.longestReport - now.mono);
+}
+
 function choose(pass: Pass, job: JobState, placed: readonly Site[]): { site: Site; end: number } | null {
   const { state, now } = pass;
   const { spec } = job;
   const open = zoneRule(state, job, placed);
   const run = expectedRun(state, spec);
   const choosy = yields(pass, job);
+  const startBy = startTime(state, spec, now);
+  const canStartInTime = startBy > now.mono;
   let best: { site: Site; end: number; score: number } | null = null;
   for (const site of pass.sites) {
     const { machine, type, free } = site;
@@ -211,7 +228,7 @@
       continue;
     }
     if (avoids(job, machine.name)) continue;
-    const fetch = fetchTime(machine, type, spec);
+    const fetch = fetchTime(machine, type, spec, now);
     const end = spec.form === 'service' ? Infinity : now.mono + fetch + run;
     const hold = pass.head.get(site);
     if (hold !== undefined && !mayBackfill(hold, spec, end)) continue;
@@ -221,8 +238,13 @@
     const left = (free.cpus - spec.cpus) / Math.max(EPSILON, pass.largest);
     // A machine that is busy until then anyway costs nothing more; another is paid for longer.
     const longer = Math.max(0, end - Math.max(now.mono, site.busyUntil)) / (fetch + run + 1);
+    const missed = canStartInTime && now.mono + untilReport(state, machine, now) + fetch > startBy;
     const score =
-      left + fetch / (fetch + run + 1) + (machine.spot ? 0 : ORDINARY_PENALTY) + LONGER_PENALTY * longer;
+      (missed ? MISS_PENALTY : 0) +
+      left +
+      fetch / (fetch + run + 1) +
+      (machine.spot ? 0 : ORDINARY_PENALTY) +
+      LONGER_PENALTY * longer;
     if (best === null || score < best.score) best = { site, end, score };
   }
   return best;
--- a/src/core/room.ts
+++ b/src/core/room.ts
@@ -1,5 +1,5 @@
 /** Room on machines, counted per resource, and which machines a job allows. */
-import type { JobState, Machine } from './state.js';
+import type { JobState, Machine, Now } from './state.js';
 import type { JobSpec, MachineType } from './types.js';
 
 const EPSILON = 1e-6;
@@ -41,10 +41,18 @@
   return free;
 }
 
-export function fetchTime(machine: Machine, type: MachineType, spec: JobSpec): number {
+/** How long a task put on a machine now waits for its image, in milliseconds. */
+export function fetchTime(machine: Machine, type: MachineType, spec: JobSpec, now: Now): number {
   if (machine.images.has(spec.image) || type.fetchGbPerS <= 0) return 0;
-  for (const claim of machine.claims.values()) if (claim.job.spec.image === spec.image) return 0;
-  return (spec.imageGb / type.fetchGbPerS) * 1000;
+  const whole = (spec.imageGb / type.fetchGbPerS) * 1000;
+  let left = whole;
+  for (const claim of machine.claims.values()) {
+    if (claim.job.spec.image !== spec.image) continue;
+    if (claim.runningSince !== null) return 0;
+    // On its way for another task: the rest of it.
+    left = Math.min(left, Math.max(0, whole - (now.wall - claim.madeAt)));
+  }
+  return left;
 }
 
 /** A job that fails on so many machines is at fault itself, and may be tried anywhere. */
