--- a/src/core/capacity.ts
+++ b/src/core/capacity.ts
@@ -20,7 +20,7 @@
 const SCARCE_FACTOR = 4;
 
 /** A machine in the plan: its free room over time, as a list of ends to come. */
-interface Planned {
+export interface Planned {
   /** Null: not rented yet. */
   readonly machine: string | null;
   readonly type: MachineType;
@@ -46,7 +46,7 @@
   `${type}/${zone}/${spot ? 'spot' : 'ordinary'}`;
 
 /** When a task that needs so much could start on a planned machine; Infinity: never. */
-function earliest(planned: Planned, need: Need): number {
+export function earliest(planned: Planned, need: Need): number {
   if (!fits(need, planned.type)) return Infinity;
   if (fits(need, planned.free)) return planned.readyAt;
   const free = { ...planned.free };
--- a/src/core/easy.ts
+++ b/src/core/easy.ts
@@ -21,7 +21,7 @@
 const MISS_PENALTY = 1.5;
 
 /** A machine as the placing pass sees it. */
-interface Site {
+export interface Site {
   readonly machine: Machine;
   readonly type: MachineType;
   readonly free: Room;
@@ -77,7 +77,19 @@
   count: number,
   now: Now,
 ): { at: number; holds: Map<Site, Hold> } | null {
-  if (count === 1) return shadowOfOne(state, sites, need, now);
+  return count === 1 ? shadowOfOne(state, sites, need, now) : collectRoom(state, sites, need, count, now);
+}
+
+type Shadow = ReturnType<typeof findShadow>;
+
+/** The plain walk over all ends, for any number of tasks. */
+export function collectRoom(
+  state: CoreState,
+  sites: readonly Site[],
+  need: Need,
+  count: number,
+  now: Now,
+): Shadow {
   const room = new Map(sites.map((site) => [site, { ...site.free }]));
   const fitting = (site: Site): number => {
     const trial = { ...(room.get(site) ?? site.free) };
@@ -121,12 +133,7 @@
  * The same for a single task, which needs just one machine: each is walked by itself
  * to the end at which the task fits, and no further than the earliest found so far.
  */
-function shadowOfOne(
-  state: CoreState,
-  sites: readonly Site[],
-  need: Need,
-  now: Now,
-): { at: number; holds: Map<Site, Hold> } | null {
+function shadowOfOne(state: CoreState, sites: readonly Site[], need: Need, now: Now): Shadow {
   let best: { at: number; site: Site; room: Room } | null = null;
   for (const site of sites) {
     if (fits(need, site.free)) {
