--- a/src/core/capacity.ts
+++ b/src/core/capacity.ts
@@ -388,7 +388,6 @@
       if (only !== null) scarce.add(only);
     }
   }
-  state.scarceTypes = scarce;
   const plan: Plan = { state, now, machines: planMachines(state, now), scarce, wanted: new Map() };
   for (const job of queue) {
     const choosy = onlyType(state, job.spec) === null;
--- a/src/core/queue.ts
+++ b/src/core/queue.ts
@@ -4,7 +4,7 @@
 import type { JobSpec } from './types.js';
 
 /** An estimate off by this share still is an ordinary one. */
-export const ESTIMATE_DOUBT = 0.3;
+const ESTIMATE_DOUBT = 0.3;
 
 /** Expected run time of a task: its owner's estimate, corrected by what its class has shown. */
 export function expectedRun(state: CoreState, spec: JobSpec): number {
@@ -44,12 +44,11 @@
 /** Where a job stands within its priority: by group, then by `key`. */
 function standing(state: CoreState, job: JobState, now: Now): { group: number; key: number } {
   const { lost } = aimsLost(state, job, now);
-  const given = state.givenUp.get(job) ?? 0;
   const run = expectedRun(state, job.spec);
   const slack = timeLeft(job.spec, 1, now) - run;
   // Pressed: it has to start within a run time from now to be in time.
-  if (lost === 0 && given === 0 && slack < run) return { group: 0, key: slack };
-  return { group: 1 + Math.max(lost, given), key: job.stamp };
+  if (lost === 0 && slack < run) return { group: 0, key: slack };
+  return { group: 1 + lost, key: job.stamp };
 }
 
 /**
@@ -57,8 +56,7 @@
  * arrival (the order of the stamps). Under overload, arrival order alone would make
  * every job late by the same delay. So a job of which some aim can no longer be met stands
  * behind those of its priority that can still meet theirs, and one that must start soon
- * to be in time stands before those that need not, the most pressed first. Under overload,
- * jobs that others are kept in time for (see `overload`) stand with those that are late.
+ * to be in time stands before those that need not, the most pressed first.
  */
 export function waitingJobs(state: CoreState, now: Now): JobState[] {
   const waiting: { job: JobState; group: number; key: number }[] = [];
--- a/src/core/state.ts
+++ b/src/core/state.ts
@@ -200,10 +200,6 @@
   /** Run time over estimate, by class, as completed tasks show it. */
   readonly runRatio: Map<string, number>;
   readonly demand: Map<string, Demand>;
-  /** Jobs that are not to meet all their deadline aims, and how many are given up. */
-  givenUp: ReadonlyMap<JobState, number>;
-  /** Types that some class needs for want of any other. */
-  scarceTypes: ReadonlySet<string>;
   /** Machines that the latest plan puts waiting tasks, or room kept ready, on. */
   readonly inPlan: Set<string>;
 }
@@ -255,8 +251,6 @@
     head: null,
     runRatio: new Map(),
     demand: new Map(),
-    givenUp: new Map(),
-    scarceTypes: new Set(),
     inPlan: new Set(),
   };
 }
@@ -276,8 +270,6 @@
   state.commitNotBefore = 0;
   state.head = null;
   state.demand.clear();
-  state.givenUp = new Map();
-  state.scarceTypes = new Set();
   state.inPlan.clear();
   state.planAt = 0;
 }
--- a/src/core/step.ts
+++ b/src/core/step.ts
@@ -16,7 +16,6 @@
   takeReport,
 } from './fleet.js';
 import { addJob, endJob, loadChunk, nextCommit, settleCommit, settleRecheck } from './ledger.js';
-import { chooseLate } from './overload.js';
 import { forgetLeadership, type CoreState, type Machine, type Now } from './state.js';
 
 function resign(state: CoreState, reason: string, effects: Effect[]): void {
@@ -196,7 +195,6 @@
   const placing = now.mono >= lead.since + state.rules.policy.placingWait;
   if (placing && (state.placeDirty || ticked)) {
     state.placeDirty = false;
-    if (ticked) state.givenUp = chooseLate(state, now);
     place(state, now);
   }
   const commit = nextCommit(state, now);
