--- a/src/core/capacity.ts
+++ b/src/core/capacity.ts
@@ -343,10 +343,14 @@
   if (wait > boot * 1000) return;
   // None has come for long, by its own measure or by that of a boot: no more are expected.
   if (now.mono - arrivedAt > Math.min(ARRIVALS_OVER * gap, 2000 * boot)) return;
-  let missing = Math.ceil(peak * state.rules.policy.headroom(spec));
+  const needed = Math.ceil(peak * state.rules.policy.headroom(spec));
+  const kind = kinds.find(({ spot }) => spot);
+  let missing = needed;
+  let missingNow = needed;
   for (const spot of [true, false]) {
     for (const one of plan.machines) {
-      if (missing <= 0) return;
+      // Dear machines stand in while there is no cheap one up, or none to be had.
+      if ((spot || kind === undefined ? missing : missingNow) <= 0) break;
       if (one.spot !== spot || !allows(spec, one.type.name, one.zone, spot)) continue;
       if (choosy && plan.scarce.has(one.type.name)) continue;
       const room = roomOf(one.type);
@@ -357,11 +361,11 @@
       }
       const found = slots(spec, room);
       if (found > 0) one.used = true;
-      missing -= found;
+      if (one.readyAt <= now.mono) missingNow -= found;
+      if (spot || kind === undefined) missing -= found;
     }
   }
-  const kind = kinds.find(({ spot }) => spot);
-  if (kind === undefined) return;
+  if (kind === undefined || missing <= 0) return;
   want(plan, kind, Math.ceil(missing / Math.max(1, slots(spec, roomOf(kind.type)))));
 }
 
