--- a/src/policy.ts
+++ b/src/policy.ts
@@ -28,7 +28,7 @@
   placing_wait_s: { scope: 'cluster', least: 0, most: 600, source: '1.25 * report_s' },
   idle_hold_s: { scope: 'machine', least: 0, most: DAY_S, source: 'spot ? 0.5 * boot_s : 0.3 * boot_s' },
   deadline_slack: { scope: 'job', least: 0, most: 1, source: '0.5' },
-  headroom: { scope: 'job', least: 0, most: 10, source: '1.0' },
+  headroom: { scope: 'job', least: 0, most: 10, source: '1.3' },
   headroom_memory_s: { scope: 'cluster', least: 1, most: DAY_S, source: '20.0 * lease_s' },
 } as const satisfies Record<string, Figure>;
 
