A job is pressed when any aim it can still meet is near, not only before its first

Cause: a rush job that missed its start aim kept off the large machines for good, and then missed its deadline too.

--- a/src/core/queue.ts
+++ b/src/core/queue.ts
@@ -32,13 +32,21 @@
   return { lost, all };
 }
 
-/** Whether a job still can, but soon no longer will, meet all of its aims. */
+/**
+ * Whether a job still can, but soon no longer will, meet one of its aims. Each counts by
+ * itself: one that missed its start is pressed again when its deadline comes near.
+ */
 export function isPressed(state: CoreState, job: JobState, now: Now): boolean {
-  const start = state.rules.startWithin.get(job.spec.jobClass) ?? Infinity;
-  const age = now.wall - job.spec.submittedAt;
-  if (aimsLost(state, job, now).lost > 0) return false;
-  const run = expectedRun(state, job.spec);
-  return age > start / 2 || timeLeft(job.spec, 1, now) < 1.5 * run;
+  const { spec } = job;
+  const start = state.rules.startWithin.get(spec.jobClass);
+  const age = now.wall - spec.submittedAt;
+  if (start !== undefined && age > start / 2 && age <= start) return true;
+  if (spec.deadlineS === null) return false;
+  const run = expectedRun(state, spec);
+  return (state.rules.deadlineTimes.get(spec.jobClass) ?? [1]).some((times) => {
+    const left = timeLeft(spec, times, now);
+    return left >= run * (1 - ESTIMATE_DOUBT) && left < 1.5 * run;
+  });
 }
 
 /** Where a job stands within its priority: by group, then by `key`. */
