An aim counts as lost once the way to the machine no longer fits

Ruled out: the processor (0.25 of its share), refused commits (none). An aim now counts as lost when run time and the way to the machine (1.5 longest reports) no longer fit.

--- a/src/core/queue.ts
+++ b/src/core/queue.ts
@@ -3,8 +3,18 @@
 import type { CoreState, JobState, Now } from './state.js';
 import type { JobSpec } from './types.js';
 
-/** An estimate off by this share still is an ordinary one. */
-const ESTIMATE_DOUBT = 0.3;
+/**
+ * From being placed to running: the write, the wait for the machine's next report, the
+ * start itself. What is left less than that is lost already; counting on all of it, a
+ * queue under overload serves everyone just too late.
+ */
+const startLatency = (state: CoreState): number => 1.5 * state.rules.timing.longestReport;
+
+/** How old a job may be when its tasks are placed for them to start in time. */
+function placedBy(state: CoreState, spec: JobSpec): number {
+  const start = state.rules.startWithin.get(spec.jobClass);
+  return start === undefined ? Infinity : start - Math.min(startLatency(state), start / 2);
+}
 
 /** Expected run time of a task: its owner's estimate, corrected by what its class has shown. */
 export function expectedRun(state: CoreState, spec: JobSpec): number {
@@ -20,10 +30,9 @@
 /** How many of its aims, to start in time and to be done in time, a job can no longer meet. */
 export function aimsLost(state: CoreState, job: JobState, now: Now): { lost: number; all: number } {
   const { spec } = job;
-  const needs = expectedRun(state, spec) * (1 - ESTIMATE_DOUBT);
-  const start = state.rules.startWithin.get(spec.jobClass);
-  let lost = start !== undefined && now.wall - spec.submittedAt > start ? 1 : 0;
-  let all = start === undefined ? 0 : 1;
+  const needs = expectedRun(state, spec) + startLatency(state);
+  let lost = now.wall - spec.submittedAt > placedBy(state, spec) ? 1 : 0;
+  let all = state.rules.startWithin.has(spec.jobClass) ? 1 : 0;
   if (spec.deadlineS === null) return { lost, all };
   for (const times of state.rules.deadlineTimes.get(spec.jobClass) ?? [1]) {
     all += 1;
@@ -38,14 +47,15 @@
  */
 export function isPressed(state: CoreState, job: JobState, now: Now): boolean {
   const { spec } = job;
-  const start = state.rules.startWithin.get(spec.jobClass);
+  const by = placedBy(state, spec);
   const age = now.wall - spec.submittedAt;
-  if (start !== undefined && age > start / 2 && age <= start) return true;
+  if (age > by / 2 && age <= by) return true;
   if (spec.deadlineS === null) return false;
   const run = expectedRun(state, spec);
+  const needs = run + startLatency(state);
   return (state.rules.deadlineTimes.get(spec.jobClass) ?? [1]).some((times) => {
     const left = timeLeft(spec, times, now);
-    return left >= run * (1 - ESTIMATE_DOUBT) && left < 1.5 * run;
+    return left >= needs && left < needs + 0.5 * run;
   });
 }
 
--- a/test/easy.test.ts
+++ b/test/easy.test.ts
@@ -1,6 +1,7 @@
 /** The paper's rule, as traces kept beside: commands in (>), effects out (<). */
 import { expect, test } from 'vitest';
 import { mayBackfill } from '../src/core/easy.js';
+import { isPressed, waitingJobs } from '../src/core/queue.js';
 import { CoreBench, EIGHT, job, report, task } from './standins/core.js';
 
 const room = (cpus: number) => ({ cpus, gpus: 0, memoryGb: cpus });
@@ -156,3 +157,30 @@
   bench.add(job('req-3', 1, 16, 500, { priority: 1, submittedAt: bench.now, deadlineS: 600 }));
   expect(onLarge(bench)).toEqual(['req-3/0#1']);
 });
+
+// In a burst every task was placed just before its start aim ran out, and then lacked the
+// second that a start needs to reach its machine: all were late, where most could be in time.
+test('what can no longer start in time, its way to the machine counted, stands behind what can', () => {
+  const bench = new CoreBench();
+  (bench.state.rules.startWithin as Map<string, number>).set('class', 5000);
+  const { longestReport } = bench.state.rules.timing;
+  const old = job('req-1', 1, 8, 50, { submittedAt: bench.now - 5000 + longestReport });
+  const fresh = job('req-2', 1, 8, 50, { submittedAt: bench.now - 1000 });
+  bench.add(old);
+  bench.add(fresh);
+  expect(waitingJobs(bench.state, bench.time()).map(({ spec }) => spec.id)).toEqual(['req-2', 'req-1']);
+});
+
+// Once late for its start, a rush job kept off the machines that others need for good, and
+// missed its deadline beside free room.
+test('a job that missed its start aim is pressed again when its deadline comes near', () => {
+  const bench = new CoreBench();
+  (bench.state.rules.startWithin as Map<string, number>).set('class', 5000);
+  const pressedAt = (ageS: number): boolean => {
+    const spec = job(`req-${ageS}`, 1, 8, 10, { deadlineS: 30, submittedAt: bench.now - ageS * 1000 });
+    bench.add(spec);
+    const state = bench.state.jobs.get(spec.id);
+    return state !== undefined && isPressed(bench.state, state, bench.time());
+  };
+  expect([1, 2.5, 10, 17, 25].map(pressedAt)).toEqual([false, true, false, true, false]);
+});
