--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -383,10 +383,31 @@
   return apart;
 }
 
+/** More silent machines than this share are no chance: the fault may be this node's own. */
+const MOST_SILENT = 0.3;
+
+/**
+ * How long a machine that was heard may be silent. What is on it will be late if it waits
+ * for the whole lease, and hardly any comes back in time; but a leader that hears few
+ * must not give back a fleet that lost only its leader.
+ */
+function patienceWith(state: CoreState, now: Now): number {
+  const { timing } = state.rules;
+  let heard = 0;
+  let silent = 0;
+  for (const { heardAt, relayedAt, leaving } of state.machines.values()) {
+    if (heardAt === null || leaving !== null) continue;
+    heard += 1;
+    if (now.mono - Math.max(heardAt, relayedAt ?? 0) > 3 * timing.longestReport) silent += 1;
+  }
+  return silent > MOST_SILENT * heard ? timing.silence : timing.shortSilence;
+}
+
 /** Gives up machines that are silent, never came up, or hold cancelled work out of reach. */
 export function judgeMachines(state: CoreState, now: Now): void {
   const { timing } = state.rules;
   const apart = zonesApart(state, now);
+  const usual = patienceWith(state, now);
   for (const machine of state.machines.values()) {
     if (machine.leaving !== null) continue;
     const patience = apart.has(machine.zone) ? 3 * timing.workerLease : timing.silence;
@@ -404,7 +425,7 @@
       continue;
     }
     const silent = now.mono - Math.max(machine.heardAt, machine.relayedAt ?? 0);
-    if (silent > patience) leave(machine, 'silent');
+    if (silent > (apart.has(machine.zone) ? patience : usual)) leave(machine, 'silent');
     else if (silent > 0.5 * timing.silence) {
       for (const claim of machine.claims.values()) {
         if (claim.job.over !== null) leave(machine, 'silent with ended work');
--- a/src/settings.ts
+++ b/src/settings.ts
@@ -103,8 +103,10 @@
   readonly workerLease: number;
   /** Longest time between two reports of a worker. */
   readonly longestReport: number;
-  /** A machine silent for longer is given back. */
+  /** A machine silent for longer is given back, whatever else may be the matter. */
   readonly silence: number;
+  /** One silent for longer is given back while most others are heard. */
+  readonly shortSilence: number;
   readonly cancel: number;
   /** Wait of one state watch. */
   readonly watchWait: number;
@@ -130,6 +132,8 @@
     workerLease: lease,
     longestReport: 1.25 * report,
     silence: lease + 1.25 * report,
+    // Longer than a worker takes to try its other nodes after one left it without answer.
+    shortSilence: 0.5 * lease + 1.25 * report,
     cancel: cancel_s * 1000,
     watchWait: 0.1 * lease,
     stateTimeout: 0.15 * lease,
--- a/test/guards.test.ts
+++ b/test/guards.test.ts
@@ -147,6 +147,29 @@
   await bench.keep('silent-machine');
 });
 
+// Work on a machine taken without notice waited a whole lease before it ran elsewhere. But
+// a leader that hears few of its machines has likely lost them for a while, not for good.
+test('a silent machine goes back before its lease ends while most others are heard', () => {
+  const bench = new CoreBench();
+  const names = ['m', 'n', 'o', 'p'];
+  const hear = (heard: readonly string[], seq: number): Effect[] =>
+    heard.flatMap((name) => bench.hear(report(name, seq, [], { zone: name < 'o' ? 'a' : 'b' })));
+  const { shortSilence, silence } = bench.state.rules.timing;
+  hear(names, 1);
+  bench.now += shortSilence + 500;
+  hear(['n', 'o', 'p'], 2);
+  expect(bench.do({ kind: 'tick' })).toContainEqual({ kind: 'return', machines: ['m'] });
+
+  const few = new CoreBench();
+  for (const name of names) few.hear(report(name, 1, [], { zone: name < 'o' ? 'a' : 'b' }));
+  few.now += shortSilence + 500;
+  for (const name of ['n', 'p']) few.hear(report(name, 2, [], { zone: name < 'o' ? 'a' : 'b' }));
+  expect(kinds(few.do({ kind: 'tick' }))).not.toContain('return');
+  few.now += silence;
+  for (const name of ['n', 'p']) few.hear(report(name, 3, [], { zone: name < 'o' ? 'a' : 'b' }));
+  expect(few.do({ kind: 'tick' })).toContainEqual({ kind: 'return', machines: ['m', 'o'] });
+});
+
 test('a zone whose machines all fall silent at once is waited for, not given back', () => {
   // With two zones apart, half of the fleet was given back and booted anew.
   const bench = new CoreBench();
