--- a/src/core/queue.ts
+++ b/src/core/queue.ts
@@ -65,7 +65,7 @@
   const run = expectedRun(state, job.spec);
   const slack = timeLeft(job.spec, 1, now) - run;
   // Pressed: it has to start within a run time from now to be in time.
-  if (lost === 0 && slack < run) return { group: 0, key: slack };
+  if (lost === 0 && slack < run) return { group: 0, key: waitingTasks(job) * run * job.spec.cpus };
   return { group: 1 + lost, key: job.stamp };
 }
 
@@ -74,7 +74,8 @@
  * arrival (the order of the stamps). Under overload, arrival order alone would make
  * every job late by the same delay. So a job of which some aim can no longer be met stands
  * behind those of its priority that can still meet theirs, and one that must start soon
- * to be in time stands before those that need not, the most pressed first.
+ * to be in time stands before those that need not. Of those, the one with the least work
+ * waiting comes first: when not all can be in time, a large job takes the room of many.
  */
 export function waitingJobs(state: CoreState, now: Now): JobState[] {
   const waiting: { job: JobState; group: number; key: number }[] = [];
