--- a/test/easy.test.ts
+++ b/test/easy.test.ts
@@ -184,3 +184,20 @@
   };
   expect([1, 2.5, 10, 17, 25].map(pressedAt)).toEqual([false, true, false, true, false]);
 });
+
+// Most pressed first, a job of many tasks took the room of several that could have been in
+// time, and was late itself.
+test('of pressed jobs, the one with the least work waiting comes first', () => {
+  const bench = new CoreBench();
+  const pressed = (id: string, tasks: number, deadlineS: number): void => {
+    bench.add(job(id, tasks, 8, 10, { deadlineS, submittedAt: bench.now }));
+  };
+  pressed('req-1', 30, 15);
+  pressed('req-2', 2, 17);
+  pressed('req-3', 1, 100);
+  expect(waitingJobs(bench.state, bench.time()).map(({ spec }) => spec.id)).toEqual([
+    'req-2',
+    'req-1',
+    'req-3',
+  ]);
+});
