--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -343,6 +343,9 @@
   if (lead === null) return;
   for (const machine of state.machines.values()) {
     if (machine.whole || machine.address === '' || machine.session === 0) continue;
+    // Whoever claims to be a machine is connected to only once the cloud, or a claim, knows it:
+    // a flood of reports under invented names would otherwise take every socket.
+    if (machine.listed === null && machine.claims.size === 0) continue;
     // The answer to its report raises the token by itself; a connection to each worker
     // besides, right after a takeover, would cost the leader what it needs to hear them.
     const heard = machine.heardAt ?? machine.knownAt;
--- a/test/guards.test.ts
+++ b/test/guards.test.ts
@@ -1,7 +1,7 @@
 /** One test for each guard that docs/safety.md argues with; each fails when its guard is taken out. */
 import { expect, test } from 'vitest';
 import type { Transaction } from '../src/wire/state.js';
-import type { Effect } from '../src/core/effects.js';
+import type { Command, Effect } from '../src/core/effects.js';
 import { VirtualClock } from './standins/clock.js';
 import { CoreBench, job, report, task, TERM } from './standins/core.js';
 import { Network } from './standins/network.js';
@@ -96,9 +96,18 @@
   ]);
 });
 
+const listedAs = (name: string): Command => ({
+  kind: 'listed',
+  askedAt: 0,
+  machines: [
+    { name, address: '10.0.0.9:1', type: 'eight', zone: 'a', spot: true, stage: 'running', ageS: 60 },
+  ],
+});
+
 test('direct commands never carry a start', () => {
   const { bench } = claimed();
   bench.hear(report('other', 1, [], { token: TERM - 1 }));
+  bench.do(listedAs('other'));
   bench.now += 5000;
   const direct = bench.raw({ kind: 'tick' }).filter((effect) => effect.kind === 'direct');
   expect(direct).toHaveLength(1);
@@ -366,3 +375,17 @@
   bench.hear(report('m', 5));
   expect(kinds(bench.do({ kind: 'tick' }))).toContain('rent');
 });
+
+// A flood of reports under invented names would otherwise take every socket of the leader.
+test('the token is carried only to machines that the cloud or a claim knows', () => {
+  const bench = new CoreBench();
+  const { longestReport } = bench.state.rules.timing;
+  bench.hear(report('invented', 1, [], { token: 0 }));
+  bench.hear(report('listed', 1, [], { token: 0 }));
+  bench.do(listedAs('listed'));
+  bench.now += 3 * longestReport;
+  const raised = bench
+    .do({ kind: 'tick' })
+    .flatMap((effect) => (effect.kind === 'direct' ? [effect.machine] : []));
+  expect(raised).toEqual(['listed']);
+});
--- a/test/leading.test.ts
+++ b/test/leading.test.ts
@@ -44,3 +44,20 @@
   await world.clock.runUntil(from + 40_000);
   expect(world.leaders()).not.toEqual(['n-2']);
 });
+
+// Reports under invented names cost a leader a connection to each, and the plan its patience.
+test('a flood of malformed requests and invented machines costs no leadership and no lease', async () => {
+  const world = new World(seeded(5));
+  await world.clock.runUntil(3000);
+  const job = { id: 'req-000001', team: 'crew', tasks: 30, cpus: 2, memoryGb: 2, spot: true };
+  void world.user({ ...job, zone: null, oneZone: false, spread: false }, null);
+  await world.clock.runUntil(12_000);
+  const leaders = world.leaders();
+  world.flood(32_000);
+  await world.clock.runUntil(60_000);
+  expect(world.leaders()).toEqual(leaders);
+  expect(world.cloud.workers.size).toBeGreaterThan(0);
+  expect([...world.cloud.workers.values()].every(({ session }) => session === 1)).toBe(true);
+  expect(world.checker.broken).toEqual([]);
+  expect(world.checker.unfinished()).toEqual([]);
+});
--- a/test/standins/world.ts
+++ b/test/standins/world.ts
@@ -88,6 +88,25 @@
     return NODES.map((name) => this.#lives.get(name)?.node.ready() === true);
   }
 
+  /** Sends every node, many times a second, what is malformed, and reports of machines that do not exist. */
+  flood(untilMs: number): void {
+    let sent = 0;
+    const round = (): void => {
+      if (this.clock.now > untilMs) return;
+      for (const { node, clock } of this.#lives.values()) {
+        if (!clock.alive) continue;
+        const name = `vm-9${String(sent++).padStart(6, '0')}`;
+        const told = { skiff: name, address: '127.0.0.1:1', bench: 'small', hall: 'a', borrowed: true };
+        node.report({ ...told, watch: 1, barNo: 1, baton: 0, movements: [] }, () => undefined);
+        node.report({ ...told, movements: 'none' }, () => undefined);
+        void node.users.submit({ nameId: 7, movements: -1 });
+        void node.users.submit('x'.repeat(100_000));
+      }
+      this.clock.in(10, round);
+    };
+    round();
+  }
+
   /** The nodes that take themselves for leader. */
   leaders(): string[] {
     return NODES.filter((name) => this.#lives.get(name)?.node.status().leading === true);
