--- a/src/adapters/state.ts
+++ b/src/adapters/state.ts
@@ -1,6 +1,6 @@
 /** The state service. */
 import type { Clock } from '../clock.js';
-import { parseAddress, timing, type PlatformSettings, type Timing } from '../settings.js';
+import { parseAddress, timing, type PlatformSettings, type StateLimits, type Timing } from '../settings.js';
 import {
   encodeLife,
   encodeTransaction,
@@ -23,7 +23,8 @@
   | { readonly kind: 'failed'; readonly keys: readonly string[] }
   /** Certainly not executed. */
   | { readonly kind: 'refused' }
-  | { readonly kind: 'noLease' }
+  /** It will never be executed as it is: a lease that has ended, or a limit. */
+  | { readonly kind: 'rejected' }
   | { readonly kind: 'unknown' };
 export type Watch =
   | { readonly kind: 'changes'; readonly changes: readonly Change[]; readonly revision: number }
@@ -43,15 +44,20 @@
   revoke(lease: number): Promise<void>;
   /** Steady time at which the latest answered request was sent; null before the first. */
   contactAt(): number | null;
+  /** From now on keeps to these limits. */
+  keepTo(limits: StateLimits): void;
 }
 
+/** A node may use more than its part of the changes, as the load is rarely even; not all of them. */
+const WRITE_SHARE = 0.8;
+
 const PAGE = 500;
 
 export class HttpStateService implements StateService {
   readonly #client: HttpClient;
   readonly #watches: HttpClient;
-  readonly #requests: Limiter;
-  readonly #writes: Limiter;
+  #requests: Limiter;
+  #writes: Limiter;
   readonly #timing: Timing;
   #contactAt: number | null = null;
 
@@ -60,14 +66,24 @@
     private readonly clock: Clock,
   ) {
     const to = parseAddress(settings.endpoints.state);
-    const { rps, write_rps, txn_ops } = settings.cluster.state;
     const { sockets } = settings.cluster.quota;
     this.#timing = timing(settings);
     this.#client = new HttpClient(to, Math.max(4, Math.floor(sockets / 25)));
     this.#watches = new HttpClient(to, 8);
+    [this.#requests, this.#writes] = this.#limiters(settings.cluster.state);
+  }
+
+  #limiters({ rps, write_rps, txn_ops }: StateLimits): [Limiter, Limiter] {
+    const writes = WRITE_SHARE * write_rps;
     // The load is rarely even among the nodes, so each may use more than its part.
-    this.#requests = new Limiter(clock, 0.5 * rps, 0.3 * rps);
-    this.#writes = new Limiter(clock, 0.6 * write_rps, Math.max(0.6 * write_rps, txn_ops));
+    return [
+      new Limiter(this.clock, 0.5 * rps, 0.3 * rps),
+      new Limiter(this.clock, writes, Math.max(writes, txn_ops)),
+    ];
+  }
+
+  keepTo(limits: StateLimits): void {
+    [this.#requests, this.#writes] = this.#limiters(limits);
   }
 
   contactAt(): number | null {
@@ -126,7 +142,7 @@
         return keys === null ? { kind: 'unknown' } : { kind: 'failed', keys };
       }
       case 400:
-        return { kind: 'noLease' };
+        return { kind: 'rejected' };
       case 429:
       case 503:
         return { kind: 'refused' };
--- a/src/adapters/users.ts
+++ b/src/adapters/users.ts
@@ -3,7 +3,8 @@
 import { allows, fits } from '../core/room.js';
 import type { TeamLimits } from '../core/state.js';
 import type { EndedRecord, JobSpec, MachineType } from '../core/types.js';
-import { decodeEnded, decodeJob, endedKey, jobKey } from '../wire/records.js';
+import { decodeEnded, decodeJob, endedKey, jobBytes, jobKey } from '../wire/records.js';
+import type { Write } from '../wire/state.js';
 import { encodeJobView, JOB_ID, parseSubmission, type JobView } from '../wire/users.js';
 import type { StateService } from './state.js';
 
@@ -15,19 +16,43 @@
 const RETRY: UserAnswer = { status: 503, body: { error: 'cannot decide now, try again' } };
 const NOT_FOUND: UserAnswer = { status: 404, body: { error: 'no such job' } };
 const ENDED_KEPT = 5000;
+/** Jobs that one poll looks through at most. */
+const MOST_SEARCHED = 50;
 
-type Found =
+export type FoundJob =
   | { readonly kind: 'live'; readonly spec: JobSpec; readonly stamp: number }
   | { readonly kind: 'ended'; readonly record: EndedRecord }
   | { readonly kind: 'none' }
   | { readonly kind: 'unknown' };
 
+/** A job as the state service has it now. */
+export async function readJob(state: StateService, id: string): Promise<FoundJob> {
+  // In this order: a job moves from one key to the other, and never back.
+  const live = await state.read(jobKey(id));
+  if (live === 'unknown') return { kind: 'unknown' };
+  if (live.entry !== null) {
+    const spec = decodeJob(live.entry.value);
+    return spec === null ? { kind: 'unknown' } : { kind: 'live', spec, stamp: live.entry.stamp };
+  }
+  const ended = await state.read(endedKey(id));
+  if (ended === 'unknown') return { kind: 'unknown' };
+  if (ended.entry === null) return { kind: 'none' };
+  const record = decodeEnded(ended.entry.value);
+  return record === null ? { kind: 'unknown' } : { kind: 'ended', record };
+}
+
 export interface UsersContext {
   readonly state: StateService;
   readonly clock: Clock;
   readonly teams: ReadonlyMap<string, TeamLimits>;
   /** How long one request may take in all, in milliseconds. */
   readonly patience: number;
+  /** Bytes that a description may take, now and later. */
+  readonly valueBytes: number;
+  /** Whether every controller is known to understand pipelines. */
+  knowsPipelines(): Promise<boolean>;
+  /** Whether a leader has freshly vouched that every cancellation has gone through its pipeline. */
+  isSettled(): boolean;
   types(): ReadonlyMap<string, MachineType>;
   counts(id: string): { readonly done: number; readonly running: number } | null;
 }
@@ -58,23 +83,12 @@
     return null;
   }
 
-  async #find(id: string): Promise<Found> {
+  async #find(id: string): Promise<FoundJob> {
     const kept = this.#ended.get(id);
     if (kept !== undefined) return { kind: 'ended', record: kept };
-    // In this order: a job moves from one key to the other, and never back.
-    const live = await this.context.state.read(jobKey(id));
-    if (live === 'unknown') return { kind: 'unknown' };
-    if (live.entry !== null) {
-      const spec = decodeJob(live.entry.value);
-      return spec === null ? { kind: 'unknown' } : { kind: 'live', spec, stamp: live.entry.stamp };
-    }
-    const ended = await this.context.state.read(endedKey(id));
-    if (ended === 'unknown') return { kind: 'unknown' };
-    if (ended.entry === null) return { kind: 'none' };
-    const record = decodeEnded(ended.entry.value);
-    if (record === null) return { kind: 'unknown' };
-    this.#keep(id, record);
-    return { kind: 'ended', record };
+    const found = await readJob(this.context.state, id);
+    if (found.kind === 'ended') this.#keep(id, found.record);
+    return found;
   }
 
   #keep(id: string, record: EndedRecord): void {
@@ -84,7 +98,7 @@
     if (oldest !== undefined) this.#ended.delete(oldest);
   }
 
-  #view(id: string, found: Found): UserAnswer {
+  #view(id: string, found: FoundJob): UserAnswer {
     if (found.kind === 'unknown') return RETRY;
     if (found.kind === 'none') return NOT_FOUND;
     let view: JobView;
@@ -92,6 +106,9 @@
     else {
       const counts = this.context.counts(id) ?? { done: 0, running: 0 };
       view = { id, stage: counts.running > 0 ? 'running' : 'pending', ...counts };
+      const started = counts.running + counts.done > 0;
+      const awaits = started ? [] : (found.spec.awaits ?? []).filter((other) => !this.#ended.has(other));
+      view = { ...view, awaits };
     }
     return { status: 200, body: encodeJobView(view) };
   }
@@ -109,6 +126,8 @@
       const found = await this.#find(id);
       return found.kind === 'none' ? { status: 422, body: { error: reason } } : this.#view(id, found);
     }
+    const entry = await this.#entry(spec);
+    if ('status' in entry) return entry;
     const until = this.context.clock.mono() + this.context.patience;
     do {
       const outcome = await this.context.state.commit({
@@ -116,9 +135,9 @@
           { key: jobKey(id), stamp: 0 },
           { key: endedKey(id), stamp: 0 },
         ],
-        apply: [{ put: jobKey(id), value: spec }],
+        apply: [entry.write],
       });
-      if (outcome.kind === 'applied') return { status: 201, body: encodeJobView({ id, stage: 'pending' }) };
+      if (outcome.kind === 'applied') return { status: 201, body: encodeJobView({ id, stage: entry.stage }) };
       if (outcome.kind === 'failed') return this.#view(id, await this.#find(id));
       if (outcome.kind !== 'unknown') return RETRY;
       const found = await this.#find(id);
@@ -127,9 +146,59 @@
     return RETRY;
   }
 
+  /** What to write for a new job, or the answer that it gets instead. */
+  async #entry(spec: JobSpec): Promise<UserAnswer | { write: Write; stage: 'pending' | 'withdrawn' }> {
+    const { id, awaits = [] } = spec;
+    const most = Math.floor(this.context.valueBytes);
+    // One that was accepted once stays accepted, whatever is sent under its name.
+    const refuse = async (status: number, error: string): Promise<UserAnswer> => {
+      const found = await this.#find(id);
+      return found.kind === 'none' ? { status, body: { error } } : this.#view(id, found);
+    };
+    if (jobBytes(spec) > most)
+      return refuse(400, `the description takes more than ${most} bytes: awaits or a name is too long`);
+    const live = { write: { put: jobKey(id), value: spec }, stage: 'pending' as const };
+    if (awaits.length === 0) return live;
+    // A program of before would start it at once.
+    if (!(await this.context.knowsPipelines())) return RETRY;
+    if (awaits.includes(id)) return refuse(422, 'a job cannot await itself');
+    const found = await Promise.all(awaits.map((other) => this.#find(other)));
+    if (found.some(({ kind }) => kind === 'unknown')) return RETRY;
+    const missing = awaits.find((_, i) => found[i]?.kind === 'none');
+    if (missing !== undefined) return refuse(422, `awaits ${missing}, which was never accepted`);
+    const endless = found.find((other) => other.kind === 'live' && other.spec.form === 'service');
+    if (endless !== undefined) return refuse(422, 'awaits a service, which never ends');
+    const cancelled = found.some((other) => other.kind === 'ended' && other.record.stage === 'withdrawn');
+    if (!cancelled) return live;
+    const at = Math.round(this.context.clock.wall());
+    const record: EndedRecord = { stage: 'withdrawn', tasks: spec.tasks, done: 0, at };
+    return { write: { put: endedKey(id), value: record }, stage: 'withdrawn' };
+  }
+
   async show(id: string): Promise<UserAnswer> {
     if (!JOB_ID.test(id)) return NOT_FOUND;
-    return this.#view(id, await this.#find(id));
+    const found = await this.#find(id);
+    if (found.kind !== 'live' || (found.spec.awaits ?? []).length === 0 || this.context.isSettled())
+      return this.#view(id, found);
+    // Nobody vouches that what it needs still can be done: that is read here, and acted on.
+    const doomed = await this.#isDoomed(found.spec, new Set());
+    if (doomed === 'unknown') return RETRY;
+    return doomed ? this.withdraw(id) : this.#view(id, found);
+  }
+
+  /** Whether a job needs, directly or through others, one that is withdrawn. */
+  async #isDoomed(spec: JobSpec, seen: Set<string>): Promise<boolean | 'unknown'> {
+    for (const id of spec.awaits ?? []) {
+      if (seen.has(id)) continue;
+      seen.add(id);
+      if (seen.size > MOST_SEARCHED) return 'unknown';
+      const found = await this.#find(id);
+      if (found.kind === 'unknown') return 'unknown';
+      if (found.kind === 'ended' && found.record.stage === 'withdrawn') return true;
+      const deeper = found.kind === 'live' ? await this.#isDoomed(found.spec, seen) : false;
+      if (deeper !== false) return deeper;
+    }
+    return false;
   }
 
   async withdraw(id: string): Promise<UserAnswer> {
@@ -139,7 +208,8 @@
       const found = await this.#find(id);
       if (found.kind !== 'live') return this.#view(id, found);
       const { tasks } = found.spec;
-      const record: EndedRecord = { stage: 'withdrawn', tasks, done: this.context.counts(id)?.done ?? 0 };
+      const at = Math.round(this.context.clock.wall());
+      const record: EndedRecord = { stage: 'withdrawn', tasks, done: this.context.counts(id)?.done ?? 0, at };
       const outcome = await this.context.state.commit({
         when: [{ key: jobKey(id), stamp: found.stamp }],
         apply: [{ remove: jobKey(id) }, { put: endedKey(id), value: record }],
--- a/src/core/capacity.ts
+++ b/src/core/capacity.ts
@@ -1,13 +1,14 @@
 /** Renting and giving back: how much, of what kind, and when. */
 import { expectedEnd, onlyType } from './easy.js';
 import type { Effect } from './effects.js';
-import { log } from './fleet.js';
 import { waitingTasks } from './ledger.js';
-import { aimsLost, expectedRun, timeLeft, waitingJobs } from './queue.js';
+import { log } from './log.js';
+import { isReady } from './pipelines.js';
+import { aimsLost, expectedRun, hasDeadline, timeLeft, waitingJobs } from './queue.js';
 import { allows, avoids, fits, freeRoom, give, roomOf, take, type Need, type Room } from './room.js';
 import type { CoreState, Demand, JobState, Machine, Now } from './state.js';
 import type { JobSpec, MachineType } from './types.js';
-import { MEMORY_KEY, TERM_KEY, type ClassMemory } from '../wire/records.js';
+import { MEMORY_KEY, memoryKey, packMemory, TERM_KEY, type ClassMemory } from '../wire/records.js';
 
 const MOST_PER_RENTAL = 50;
 const MOST_RETURNED = 100;
@@ -139,11 +140,16 @@
 function latestStart(state: CoreState, job: JobState, now: Now): number {
   const { spec } = job;
   const { lost, all } = aimsLost(state, job, now);
+  const left = timeLeft(job, 1, now);
   // Late whatever is rented now: no hurry that dear machines would be worth.
   if (spec.deadlineS !== null && lost >= all) {
-    return now.mono + Math.max(0, spec.deadlineS * 1000 + Math.min(0, timeLeft(spec, 1, now)));
+    return now.mono + Math.max(0, spec.deadlineS * 1000 + Math.min(0, left));
   }
-  return now.mono - (now.wall - spec.submittedAt) + allowedWait(state, spec);
+  const own = now.mono - (now.wall - job.readyAt) + allowedWait(state, spec);
+  if (!hasDeadline(job) || spec.deadlineS !== null) return own;
+  // Others need it: half of what is left beyond its own run is theirs.
+  const slack = state.rules.policy.deadlineSlack(spec) * (left - expectedRun(state, spec));
+  return now.mono + Math.max(0, Math.min(slack, own - now.mono));
 }
 
 /**
@@ -152,17 +158,16 @@
  * ready for as much at once would stand idle as soon as it is worked off.
  */
 function noteDemand(state: CoreState, now: Now): void {
-  const seen = new Map([...state.demand].map(([name, { stamp }]) => [name, stamp]));
   const memory = state.rules.policy.headroomMemory;
   for (const job of state.jobs.values()) {
-    const { spec, stamp } = job;
-    if (job.over !== null || spec.form !== 'array' || stamp <= (seen.get(spec.jobClass) ?? 0)) continue;
+    const { spec } = job;
+    if (job.counted || job.over !== null || spec.form !== 'array' || !isReady(job)) continue;
+    job.counted = true;
     const known = state.demand.get(spec.jobClass);
     const usual = known?.gap ?? memory / 8;
     const stays = expectedRun(state, spec) + state.rules.timing.longestReport;
-    const until = now.mono - (now.wall - spec.submittedAt) + stays;
+    const until = now.mono - (now.wall - job.readyAt) + stays;
     state.demand.set(spec.jobClass, {
-      stamp: Math.max(stamp, known?.stamp ?? 0),
       spec,
       peak: known?.peak ?? 0,
       arrivals: [...(known?.arrivals ?? []), { until, tasks: spec.tasks }],
@@ -185,20 +190,27 @@
 export function rememberDemand(state: CoreState, now: Now, effects: Effect[]): void {
   const lead = state.leadership;
   if (lead === null || now.mono < state.rememberAt) return;
-  state.rememberAt = now.mono + state.rules.timing.workerLease;
+  const { timing } = state.rules;
+  const small = state.layout.width !== null;
+  state.rememberAt = now.mono + timing.workerLease;
   const classes: ClassMemory[] = [];
   for (const [name, { spec, peak, gap }] of state.demand) {
-    if (classes.length < MOST_CLASSES)
-      classes.push({ spec, peak, gap, ratio: state.runRatio.get(name) ?? 1 });
+    if (classes.length < MOST_CLASSES) {
+      const { awaits: _, ...pattern } = spec;
+      classes.push({ spec: pattern, peak, gap, ratio: state.runRatio.get(name) ?? 1 });
+    }
   }
   if (classes.length === 0) return;
-  effects.push({
-    kind: 'remember',
-    txn: {
-      when: [{ key: TERM_KEY, stamp: lead.stamp }],
-      apply: [{ put: MEMORY_KEY, value: { classes } }],
-    },
-  });
+  const parts = small ? packMemory(classes, state.layout.valueBytes) : [classes];
+  parts.forEach((part, index) =>
+    effects.push({
+      kind: 'remember',
+      txn: {
+        when: [{ key: TERM_KEY, stamp: lead.stamp }],
+        apply: [{ put: small ? memoryKey(index) : MEMORY_KEY, value: { classes: part } }],
+      },
+    }),
+  );
 }
 
 export function recallDemand(state: CoreState, memory: readonly ClassMemory[], now: Now): void {
@@ -206,7 +218,6 @@
   for (const { spec, peak, gap, ratio } of memory) {
     state.runRatio.set(spec.jobClass, ratio);
     state.demand.set(spec.jobClass, {
-      stamp: 0,
       spec,
       peak,
       gap,
--- a/src/core/easy.ts
+++ b/src/core/easy.ts
@@ -205,13 +205,13 @@
 function yields({ state, now, scarce, scarcePriority }: Pass, job: JobState): boolean {
   if (scarce.size === 0 || onlyType(state, job.spec) !== null) return false;
   // One of higher priority about to miss an aim goes first.
-  return !(job.spec.priority < scarcePriority && isPressed(state, job, now));
+  return !(job.priority < scarcePriority && isPressed(state, job, now));
 }
 
 /** Steady time by which a job's tasks are to start; Infinity where no aim speaks of it. */
-function startTime(state: CoreState, spec: JobSpec, now: Now): number {
-  const within = state.rules.startWithin.get(spec.jobClass);
-  return within === undefined ? Infinity : now.mono - (now.wall - spec.submittedAt) + within;
+function startTime(state: CoreState, job: JobState, now: Now): number {
+  const within = state.rules.startWithin.get(job.spec.jobClass);
+  return within === undefined ? Infinity : now.mono - (now.wall - job.readyAt) + within;
 }
 
 /** A start travels in the answer to a report; so long until the next is due at the latest. */
@@ -226,7 +226,7 @@
   const open = zoneRule(state, job, placed);
   const run = expectedRun(state, spec);
   const choosy = yields(pass, job);
-  const startBy = startTime(state, spec, now);
+  const startBy = startTime(state, job, now);
   const canStartInTime = startBy > now.mono;
   let best: { site: Site; end: number; score: number } | null = null;
   for (const site of pass.sites) {
@@ -344,7 +344,7 @@
   }
   const queue = waitingJobs(state, now);
   const scarceJobs = scarceTypes(state, queue);
-  const scarcePriority = Math.min(...[...scarceJobs.values()].map((job) => job.spec.priority));
+  const scarcePriority = Math.min(...[...scarceJobs.values()].map((job) => job.priority));
   const pass: Pass = { state, now, sites, largest, head: new Map(), scarce: new Map(), scarcePriority };
   for (const [type, job] of scarceJobs) {
     for (const site of sites) {
--- a/src/core/effects.ts
+++ b/src/core/effects.ts
@@ -1,5 +1,6 @@
 /** What goes into `step` and what comes out of it. */
-import type { ClassMemory } from '../wire/records.js';
+import type { ChunkName, ClassMemory } from '../wire/records.js';
+import type { Layout } from './state.js';
 import type { Transaction } from '../wire/state.js';
 import type {
   Stamped,
@@ -14,7 +15,7 @@
 
 export interface LoadedChunk {
   readonly job: string;
-  readonly chunk: number;
+  readonly name: ChunkName;
   readonly record: Stamped<ChunkRecord>;
 }
 
@@ -22,6 +23,8 @@
   | { readonly kind: 'applied'; readonly revision: number }
   | { readonly kind: 'failed'; readonly keys: readonly string[] }
   | { readonly kind: 'refused' }
+  /** Too large, or malformed: sent again as it is, it would be refused again. */
+  | { readonly kind: 'rejected' }
   | { readonly kind: 'unknown' };
 
 export interface Recheck {
@@ -38,6 +41,8 @@
       readonly term: number;
       readonly stamp: number;
       readonly provenAt: number;
+      readonly layout: Layout;
+      readonly wide: number;
       readonly jobs: readonly Stamped<JobSpec>[];
       readonly chunks: readonly LoadedChunk[];
       readonly memory: readonly ClassMemory[];
@@ -51,6 +56,13 @@
   | { readonly kind: 'jobRemoved'; readonly id: string }
   /** The jobs read anew, complete as of the revision. */
   | { readonly kind: 'jobsReplaced'; readonly jobs: readonly Stamped<JobSpec>[]; readonly revision: number }
+  /** How awaited jobs stand: their committed end, still live, never accepted, or no answer. */
+  | {
+      readonly kind: 'resolved';
+      readonly found: ReadonlyMap<string, EndedRecord | 'live' | 'none' | 'unknown'>;
+    }
+  /** Every controller reads what this version writes. */
+  | { readonly kind: 'adopt'; readonly layout: Layout }
   | { readonly kind: 'committed'; readonly id: number; readonly outcome: CommitOutcome }
   | { readonly kind: 'rechecked'; readonly found: Recheck | null }
   | { readonly kind: 'catalog'; readonly types: readonly MachineType[] }
@@ -70,6 +82,7 @@
   | { readonly kind: 'reply'; readonly reply: number; readonly body: Reply }
   | { readonly kind: 'commit'; readonly id: number; readonly txn: Transaction }
   | { readonly kind: 'recheck'; readonly jobs: readonly string[]; readonly chunks: readonly string[] }
+  | { readonly kind: 'resolve'; readonly ids: readonly string[] }
   | {
       readonly kind: 'direct';
       readonly machine: string;
--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -1,6 +1,7 @@
 /** Machines: what their reports prove, what they are told, and when they are given up. */
 import type { Effect } from './effects.js';
 import { isDurable, recordStrayDone, releaseClaim } from './ledger.js';
+import { log } from './log.js';
 import { expectedRun } from './queue.js';
 import { isAtFault } from './room.js';
 import {
@@ -436,7 +437,3 @@
     }
   }
 }
-
-export function log(effects: Effect[], event: string, detail: object): void {
-  effects.push({ kind: 'log', level: 'info', event, detail });
-}
--- /dev/null
+++ b/src/core/pipelines.ts
@@ -0,0 +1,164 @@
+/**
+ * Jobs that wait for others. A job is ready once every job it awaits is known, from the
+ * committed record, to be done; it is withdrawn once one of them is known, from there, to
+ * be withdrawn. Both are final, so what was once learned stays true. Jobs that need others
+ * are indexed by those, so that an end costs no more than what it sets free.
+ */
+import { expectedRun, startLatency } from './queue.js';
+import type { CoreState, Final, JobState, Now } from './state.js';
+import type { EndedRecord, FinalStage } from './types.js';
+
+const MOST_FINALS = 4000;
+const MOST_ASKED = 16;
+/** A pipeline longer than this passes its wishes back no further. */
+const DEEPEST = 200;
+/** The last task of an array ends later than the usual one. */
+const LAST_TASK = 1.3;
+
+/** Whether nothing that a job awaits is still to be done. */
+export const isReady = (job: JobState): boolean => job.waitsFor.size === 0;
+
+function ask(state: CoreState, id: string): void {
+  if (state.unresolved.has(id)) return;
+  // What the view held before its latest proof had been settled.
+  state.unresolved.set(id, { since: state.leadership?.provenAt ?? 0, notBefore: 0 });
+}
+
+/** To be withdrawn: one that it needs is. It cannot have a task out, for that one was never done. */
+function doom(state: CoreState, job: JobState): void {
+  if (job.over !== null || state.doomed.has(job)) return;
+  state.doomed.set(job, state.leadership?.provenAt ?? 0);
+  state.unsaved.add(job);
+}
+
+function settle(state: CoreState, job: JobState, final: Final, id: string): void {
+  if (final.stage === 'withdrawn') {
+    doom(state, job);
+    return;
+  }
+  job.waitsFor.delete(id);
+  job.readyAt = Math.max(job.readyAt, final.at);
+  if (!isReady(job)) return;
+  state.placeDirty = true;
+  // At the next tick; 0 would say that there is no plan yet.
+  if (state.planAt > 0) state.planAt = 1;
+}
+
+/** Enters a new job into the index, and asks for the ends of what it awaits. */
+export function joinPipeline(state: CoreState, job: JobState): void {
+  for (const id of job.spec.awaits ?? []) {
+    job.waitsFor.add(id);
+    const final = state.finals.get(id);
+    if (final !== undefined) {
+      settle(state, job, final, id);
+      continue;
+    }
+    const others = state.dependents.get(id);
+    if (others === undefined) state.dependents.set(id, new Set([job]));
+    else others.add(job);
+    if (state.jobs.get(id)?.over !== null) ask(state, id);
+  }
+  passBack(state, job, DEEPEST);
+}
+
+/**
+ * What a job needs has its priority, and has to be done early enough for what remains: the
+ * users set both on the last job of a pipeline only.
+ */
+function passBack(state: CoreState, job: JobState, depth: number): void {
+  if (depth === 0) return;
+  const { spec } = job;
+  const own = spec.deadlineS === null ? Infinity : spec.submittedAt + spec.deadlineS * 1000;
+  const by = Math.min(own, job.dueAt) - expectedStay(state, job);
+  for (const id of spec.awaits ?? []) {
+    const needed = state.jobs.get(id);
+    if (needed === undefined || needed.over !== null) continue;
+    if (needed.priority <= job.priority && needed.dueAt <= by) continue;
+    needed.priority = job.priority < needed.priority ? job.priority : needed.priority;
+    needed.dueAt = Math.min(needed.dueAt, by);
+    passBack(state, needed, depth - 1);
+  }
+}
+
+/** How long a job is expected to take from being ready to being done. */
+const expectedStay = (state: CoreState, { spec }: JobState): number =>
+  startLatency(state) + LAST_TASK * expectedRun(state, spec);
+
+/** A job has left the queue. Without its committed record, what waits for it learns only from that. */
+export function leavePipeline(state: CoreState, job: JobState, final: Final | null): void {
+  const { id, awaits } = job.spec;
+  state.doomed.delete(job);
+  for (const needed of awaits ?? []) {
+    const others = state.dependents.get(needed);
+    others?.delete(job);
+    if (others?.size !== 0) continue;
+    state.dependents.delete(needed);
+    state.unresolved.delete(needed);
+  }
+  if (final !== null) learnFinal(state, id, final);
+  else if (state.dependents.has(id)) ask(state, id);
+}
+
+/** What the committed record of a job says of its end. */
+function learnFinal(state: CoreState, id: string, final: Final): void {
+  state.finals.delete(id);
+  state.finals.set(id, final);
+  for (const oldest of state.finals.keys()) {
+    if (state.finals.size <= MOST_FINALS) break;
+    state.finals.delete(oldest);
+  }
+  state.unresolved.delete(id);
+  const waiting = state.dependents.get(id);
+  if (waiting === undefined) return;
+  state.dependents.delete(id);
+  for (const job of waiting) settle(state, job, final, id);
+}
+
+export const finalOf = (record: EndedRecord, now: Now): Final => ({
+  stage: record.stage,
+  at: Math.min(record.at ?? now.wall, now.wall),
+});
+
+export const finalNow = (stage: FinalStage, now: Now): Final => ({ stage, at: now.wall });
+
+/** Awaited jobs whose records are to be read now; some at a time. */
+export function nextQuestion(state: CoreState, now: Now): readonly string[] | null {
+  if (state.asking !== null || state.unresolved.size === 0) return null;
+  const ids: string[] = [];
+  for (const [id, { notBefore }] of state.unresolved) {
+    if (notBefore > now.mono) continue;
+    ids.push(id);
+    if (ids.length === MOST_ASKED) break;
+  }
+  if (ids.length === 0) return null;
+  state.asking = ids;
+  return ids;
+}
+
+export function settleQuestion(
+  state: CoreState,
+  found: ReadonlyMap<string, EndedRecord | 'live' | 'none' | 'unknown'>,
+  now: Now,
+): void {
+  state.asking = null;
+  const { tick, workerLease } = state.rules.timing;
+  for (const [id, answer] of found) {
+    if (typeof answer !== 'string') {
+      learnFinal(state, id, finalOf(answer, now));
+      continue;
+    }
+    const question = state.unresolved.get(id);
+    if (question === undefined) continue;
+    // One that the view shows by now tells of its end by itself.
+    if (answer === 'live' && state.jobs.get(id)?.over === null) state.unresolved.delete(id);
+    else question.notBefore = now.mono + (answer === 'none' ? workerLease : tick);
+  }
+}
+
+/** Steady time up to which every cancellation has gone through its pipeline, as this leader sees it. */
+export function settledUntil(state: CoreState): number {
+  let until = state.leadership?.provenAt ?? 0;
+  for (const { since } of state.unresolved.values()) until = Math.min(until, since);
+  for (const since of state.doomed.values()) until = Math.min(until, since);
+  return until;
+}
--- a/src/core/queue.ts
+++ b/src/core/queue.ts
@@ -8,7 +8,7 @@
  * start itself. What is left less than that is lost already; counting on all of it, a
  * queue under overload serves everyone just too late.
  */
-const startLatency = (state: CoreState): number => 1.5 * state.rules.timing.longestReport;
+export const startLatency = (state: CoreState): number => 1.5 * state.rules.timing.longestReport;
 
 /** How old a job may be when its tasks are placed for them to start in time. */
 function placedBy(state: CoreState, spec: JobSpec): number {
@@ -21,22 +21,28 @@
   return state.rules.policy.expectedRun(spec) * (state.runRatio.get(spec.jobClass) ?? 1);
 }
 
-/** Milliseconds from now until the deadline, `times` its length after the submission. */
-export function timeLeft(spec: JobSpec, times: number, now: Now): number {
-  if (spec.deadlineS === null) return Infinity;
-  return spec.submittedAt + spec.deadlineS * 1000 * times - now.wall;
+/** Whether there is a time by which a job should be done, for itself or for those that need it. */
+export const hasDeadline = (job: JobState): boolean => job.spec.deadlineS !== null || job.dueAt < Infinity;
+
+/**
+ * Milliseconds from now until the deadline, `times` its length after the submission; what
+ * those that need the job leave it counts once.
+ */
+export function timeLeft({ spec, dueAt }: JobState, times: number, now: Now): number {
+  const own = spec.deadlineS === null ? Infinity : spec.submittedAt + spec.deadlineS * 1000 * times;
+  return (times === 1 ? Math.min(own, dueAt) : own) - now.wall;
 }
 
 /** How many of its aims, to start in time and to be done in time, a job can no longer meet. */
 export function aimsLost(state: CoreState, job: JobState, now: Now): { lost: number; all: number } {
   const { spec } = job;
   const needs = expectedRun(state, spec) + startLatency(state);
-  let lost = now.wall - spec.submittedAt > placedBy(state, spec) ? 1 : 0;
+  let lost = now.wall - job.readyAt > placedBy(state, spec) ? 1 : 0;
   let all = state.rules.startWithin.has(spec.jobClass) ? 1 : 0;
-  if (spec.deadlineS === null) return { lost, all };
+  if (!hasDeadline(job)) return { lost, all };
   for (const times of state.rules.deadlineTimes.get(spec.jobClass) ?? [1]) {
     all += 1;
-    if (timeLeft(spec, times, now) < needs) lost += 1;
+    if (timeLeft(job, times, now) < needs) lost += 1;
   }
   return { lost, all };
 }
@@ -48,13 +54,13 @@
 export function isPressed(state: CoreState, job: JobState, now: Now): boolean {
   const { spec } = job;
   const by = placedBy(state, spec);
-  const age = now.wall - spec.submittedAt;
+  const age = now.wall - job.readyAt;
   if (age > by / 2 && age <= by) return true;
-  if (spec.deadlineS === null) return false;
+  if (!hasDeadline(job)) return false;
   const run = expectedRun(state, spec);
   const needs = run + startLatency(state);
   return (state.rules.deadlineTimes.get(spec.jobClass) ?? [1]).some((times) => {
-    const left = timeLeft(spec, times, now);
+    const left = timeLeft(job, times, now);
     return left >= needs && left < needs + 0.5 * run;
   });
 }
@@ -63,7 +69,7 @@
 function standing(state: CoreState, job: JobState, now: Now): { group: number; key: number } {
   const { lost } = aimsLost(state, job, now);
   const run = expectedRun(state, job.spec);
-  const slack = timeLeft(job.spec, 1, now) - run;
+  const slack = timeLeft(job, 1, now) - run;
   // Pressed: it has to start within a run time from now to be in time.
   if (lost === 0 && slack < run) return { group: 0, key: waitingTasks(job) * run * job.spec.cpus };
   return { group: 1 + lost, key: job.stamp };
@@ -82,7 +88,7 @@
   for (const job of state.jobs.values()) {
     if (waitingTasks(job) > 0 && job.retryAt <= now.mono) waiting.push({ job, ...standing(state, job, now) });
   }
-  waiting.sort((a, b) => a.job.spec.priority - b.job.spec.priority || a.group - b.group || a.key - b.key);
+  waiting.sort((a, b) => a.job.priority - b.job.priority || a.group - b.group || a.key - b.key);
   return waiting.map(({ job }) => job);
 }
 
--- a/src/core/state.ts
+++ b/src/core/state.ts
@@ -6,6 +6,7 @@
   JobSpec,
   ListedMachine,
   MachineType,
+  Priority,
   ReportedTask,
   TaskStage,
 } from './types.js';
@@ -30,12 +31,27 @@
   readonly startWithin: ReadonlyMap<string, number>;
   /** Multiples of the deadline that aims speak of, by class. */
   readonly deadlineTimes: ReadonlyMap<string, readonly number[]>;
-  readonly chunkTasks: number;
-  readonly txnOps: number;
+  /** How the versions before write, and this one until every controller reads what it would write. */
+  readonly firstLayout: Layout;
   readonly listLag: number;
   readonly policy: PolicyFigures;
 }
 
+/** How run records are cut, and how much is written at once. */
+export interface Layout {
+  /** Width as it stands in the keys of chunks; null: the first versions' keys, which do not say. */
+  readonly width: number | null;
+  /** Tasks of a chunk. */
+  readonly tasks: number;
+  /** Most changes in a transaction. */
+  readonly txnOps: number;
+  /** Most bytes of a value. */
+  readonly valueBytes: number;
+  /** Changes a second that a leader keeps to, and how many it may save up. */
+  readonly writeRate: number;
+  readonly writeBurst: number;
+}
+
 /** What operators may change; see `policy`. */
 export interface PolicyFigures {
   /** Expected run time of a task of this job, in milliseconds. */
@@ -63,7 +79,7 @@
   readonly session: number;
   readonly madeAt: number;
   /** Version of its chunk that first held it: durable once that is committed. */
-  readonly version: number;
+  version: number;
   /** A start may have been sent, by this leader or one before. */
   sent: boolean;
   /** What the worker last reported of it. */
@@ -85,12 +101,32 @@
   claimed: number;
   /** Steady time since which changes that can wait have waited to be written. */
   waitsFrom: number | null;
+  /** Not written before: the state service would not take it. */
+  blockedUntil: number;
+}
+
+/** A run record of another width: what today's chunks do not hold of its tasks is in it. */
+export interface OlderChunk {
+  /** Null: unknown until it is read again. */
+  stamp: number | null;
+  readonly first: number;
+  readonly end: number;
 }
 
 export interface JobState {
   readonly spec: JobSpec;
   readonly stamp: number;
   over: FinalStage | null;
+  /** Jobs that it awaits and that are not known to be done; it is ready when there are none. */
+  readonly waitsFor: Set<string>;
+  /** Time of day from which it could start: its submission, or the end of the last job it awaits. */
+  readyAt: number;
+  /** Its own priority, or the highest of those that need it. */
+  priority: Priority;
+  /** Time of day by which jobs that need it want it done; Infinity: none does. */
+  dueAt: number;
+  /** Its arrival, or becoming ready, has been counted in the demand. */
+  counted: boolean;
   readonly done: Uint8Array;
   doneCount: number;
   readonly attempts: Map<number, number>;
@@ -99,6 +135,8 @@
   readonly again: number[];
   cursor: number;
   readonly chunks: Map<number, Chunk>;
+  /** By key; each goes once today's chunks hold all that is known of its tasks. */
+  readonly older: Map<string, OlderChunk>;
   /** Errors in a row on machines that complete other work, and when to try again. */
   errors: number;
   retryAt: number;
@@ -162,6 +200,8 @@
   readonly stamp: number;
   readonly since: number;
   authorityUntil: number;
+  /** Steady time of sending the latest read that proved the view of the jobs. */
+  provenAt: number;
 }
 
 export interface Head {
@@ -174,6 +214,12 @@
 export interface CoreState {
   readonly node: string;
   readonly rules: Rules;
+  /** Follows what every controller can read. */
+  layout: Layout;
+  /** Tasks of a chunk whose key tells no width. */
+  wide: number;
+  /** The layout to change to, once no write is under way. */
+  adopting: Layout | null;
   leadership: Leadership | null;
   types: ReadonlyMap<string, MachineType>;
   readonly jobs: Map<string, JobState>;
@@ -187,6 +233,19 @@
   readonly rentals: Map<string, Rental>;
   /** Until when a kind of machine is not asked for again, by `type/zone/spot`. */
   readonly refusedUntil: Map<string, number>;
+  /** Jobs that wait, by each job that they wait for. */
+  readonly dependents: Map<string, Set<JobState>>;
+  /** How jobs ended, as read from or written to the state service; bounded. */
+  readonly finals: Map<string, Final>;
+  /** Awaited jobs whose end has to be read: since when that is so, and when to ask (again). */
+  readonly unresolved: Map<string, { readonly since: number; notBefore: number }>;
+  asking: readonly string[] | null;
+  /** Jobs to be withdrawn because one that they need was, and since when. */
+  readonly doomed: Map<JobState, number>;
+  /** Each job's changes are written by themselves: some of them were refused for good. */
+  lone: boolean;
+  /** Changes that may be written now, as of `at`. */
+  readonly budget: { level: number; at: number };
   nextRequest: number;
   rentNotBefore: number;
   commit: CommitInFlight | null;
@@ -206,7 +265,6 @@
 
 /** What a class asks for: its latest arrivals, and the most tasks at once of late. */
 export interface Demand {
-  readonly stamp: number;
   /** Its latest job, as a pattern for those to come. */
   readonly spec: JobSpec;
   peak: number;
@@ -222,6 +280,14 @@
   readonly id: number;
   readonly chunks: readonly { readonly job: JobState; readonly chunk: Chunk; readonly version: number }[];
   readonly ending: readonly JobState[];
+  readonly withdrawing: readonly JobState[];
+  readonly older: readonly { readonly job: JobState; readonly key: string }[];
+}
+
+/** How a job ended, and when (time of day in milliseconds). */
+export interface Final {
+  readonly stage: FinalStage;
+  readonly at: number;
 }
 
 export const taskKey = (job: string, task: number): string => `${job}/${task}`;
@@ -230,6 +296,9 @@
   return {
     node,
     rules,
+    layout: rules.firstLayout,
+    wide: rules.firstLayout.tasks,
+    adopting: null,
     leadership: null,
     types: new Map(),
     jobs: new Map(),
@@ -239,6 +308,13 @@
     gone: new Set(),
     rentals: new Map(),
     refusedUntil: new Map(),
+    dependents: new Map(),
+    finals: new Map(),
+    unresolved: new Map(),
+    asking: null,
+    doomed: new Map(),
+    lone: false,
+    budget: { level: 0, at: 0 },
     nextRequest: 1,
     rentNotBefore: 0,
     commit: null,
@@ -265,6 +341,12 @@
   state.gone.clear();
   state.rentals.clear();
   state.refusedUntil.clear();
+  state.dependents.clear();
+  state.unresolved.clear();
+  state.asking = null;
+  state.doomed.clear();
+  state.adopting = null;
+  state.lone = false;
   state.commit = null;
   state.recheck = null;
   state.commitNotBefore = 0;
--- a/src/core/step.ts
+++ b/src/core/step.ts
@@ -8,14 +8,15 @@
   dropReturned,
   hold,
   judgeMachines,
-  log,
   machineNamed,
   raiseTokens,
   release,
   takeList,
   takeReport,
 } from './fleet.js';
-import { addJob, endJob, loadChunk, nextCommit, settleCommit, settleRecheck } from './ledger.js';
+import { addJob, endJob, loadChunks, nextCommit, settleCommit, settleRecheck } from './ledger.js';
+import { log } from './log.js';
+import { nextQuestion, settleQuestion } from './pipelines.js';
 import { forgetLeadership, type CoreState, type Machine, type Now } from './state.js';
 
 function resign(state: CoreState, reason: string, effects: Effect[]): void {
@@ -33,9 +34,10 @@
 function removeJob(state: CoreState, id: string): void {
   const job = state.jobs.get(id);
   // One that is being ended by us is settled by the answer to that.
-  const ours = state.commit?.ending.some((ending) => ending.spec.id === id) ?? false;
+  const { ending = [], withdrawing = [] } = state.commit ?? {};
+  const ours = [...ending, ...withdrawing].some(({ spec }) => spec.id === id);
   const checked = state.recheck?.includes(id) ?? false;
-  if (job !== undefined && job.over === null && !ours && !checked) endJob(state, job, 'withdrawn');
+  if (job !== undefined && job.over === null && !ours && !checked) endJob(state, job, 'withdrawn', null);
 }
 
 function hasAuthority(state: CoreState, now: Now): boolean {
@@ -88,12 +90,17 @@
         stamp: command.stamp,
         since: now.mono,
         authorityUntil: command.provenAt + state.rules.timing.authority,
+        provenAt: command.provenAt,
       };
+      state.layout = command.layout;
+      state.wide = command.wide;
+      state.budget.at = now.mono;
       state.nextRequest = 1;
       // The list may not show yet what the leader before has rented.
       state.rentNotBefore = now.mono + 2 * state.rules.timing.longestReport;
-      for (const job of command.jobs) addJob(state, job);
-      for (const chunk of command.chunks) loadChunk(state, chunk, now, machineOf);
+      // In the order of arrival, so that those that wait find what they wait for.
+      for (const job of [...command.jobs].sort((a, b) => a.stamp - b.stamp)) addJob(state, job);
+      loadChunks(state, command.chunks, now, machineOf);
       recallDemand(state, command.memory, now);
       state.placeDirty = true;
       log(effects, 'leading', {
@@ -117,8 +124,15 @@
           state.leadership.authorityUntil,
           command.sentAt + state.rules.timing.authority,
         );
+        state.leadership.provenAt = Math.max(state.leadership.provenAt, command.sentAt);
       }
       break;
+    case 'resolved':
+      settleQuestion(state, command.found, now);
+      break;
+    case 'adopt':
+      if (state.leadership !== null) state.adopting = command.layout;
+      break;
     case 'jobAdded':
       if (state.leadership === null) break;
       addJob(state, command.job);
@@ -199,6 +213,8 @@
   }
   const commit = nextCommit(state, now);
   if (commit !== null) effects.push(commit);
+  const ids = nextQuestion(state, now);
+  if (ids !== null) effects.push({ kind: 'resolve', ids });
   answerReports(state, now, effects);
   if (ticked) {
     raiseTokens(state, now, effects);
--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -28,6 +28,8 @@
   readonly deadlineS: number | null;
   /** Time of day of its submission, in milliseconds. */
   readonly submittedAt: number;
+  /** Jobs that have to be done before any of its tasks starts; absent: none. */
+  readonly awaits?: readonly string[];
 }
 
 export interface MachineType {
@@ -116,6 +118,8 @@
   readonly stage: FinalStage;
   readonly tasks: number;
   readonly done: number;
+  /** Time of day at which it ended, in milliseconds; absent in records of earlier versions. */
+  readonly at?: number;
 }
 
 /** A value of the state service together with its stamp. */
--- a/src/deputy.ts
+++ b/src/deputy.ts
@@ -11,7 +11,7 @@
 import type { Clock } from './clock.js';
 import type { Report, WorkerCommand } from './core/types.js';
 import type { Timing } from './settings.js';
-import { deputyKey, JOB_PREFIX, jobOfKey, type DeputyRecord } from './wire/records.js';
+import { deputyKey, JOB_PREFIX, jobOfKey, packMachines, type DeputyRecord } from './wire/records.js';
 
 export class Deputy {
   readonly #live = new Set<string>();
@@ -26,6 +26,8 @@
     private readonly state: StateService,
     private readonly clock: Clock,
     private readonly timing: Timing,
+    /** Its word is split so that it fits values of today and of later. */
+    private readonly valueBytes: number,
   ) {}
 
   /** What to tell a worker, or null when this node may not answer it. */
@@ -93,8 +95,12 @@
       for (const [machine, at] of this.#seen)
         if (now - at > 2 * this.timing.longestReport) this.#seen.delete(machine);
       if (this.#seen.size > 0) {
-        const value: DeputyRecord = { at: this.clock.wall(), machines: [...this.#seen.keys()] };
-        await this.state.commit({ when: [], apply: [{ put: deputyKey(this.node), value }] });
+        const at = this.clock.wall();
+        const parts = packMachines([...this.#seen.keys()], this.valueBytes);
+        for (const [part, machines] of parts.entries()) {
+          const value: DeputyRecord = { at, machines };
+          await this.state.commit({ when: [], apply: [{ put: deputyKey(this.node, part), value }] });
+        }
       }
       await this.clock.sleep(2 * this.timing.longestReport);
     }
--- a/src/node.ts
+++ b/src/node.ts
@@ -1,10 +1,11 @@
 /** One controller: the owner and everything around it. */
 import type { Cloud } from './adapters/cloud.js';
 import type { StateService } from './adapters/state.js';
-import { Users } from './adapters/users.js';
+import { readJob, Users } from './adapters/users.js';
 import type { Workers } from './adapters/workers.js';
 import type { Clock } from './clock.js';
 import type { Effect, LoadedChunk, Recheck } from './core/effects.js';
+import { settledUntil } from './core/pipelines.js';
 import { createState, type PolicyFigures, type Rules } from './core/state.js';
 import type { EndedRecord, JobSpec, Report, Stamped } from './core/types.js';
 import { Deputy } from './deputy.js';
@@ -13,29 +14,32 @@
 import { Latencies } from './latency.js';
 import type { Log } from './logging.js';
 import { Owner } from './owner.js';
-import { timing, type PlatformSettings, type Timing } from './settings.js';
+import { lastingLimits, timing, type PlatformSettings, type Timing } from './settings.js';
+import { firstLayout, formatRecord, lastingLayout, Upgrade } from './upgrade.js';
 import type { JobCount, PeerStatus } from './wire/peers.js';
 import {
   decodeChunk,
   decodeDeputy,
-  decodeEnded,
+  decodeFormat,
   decodeJob,
   decodeMemory,
   DEPUTY_PREFIX,
-  endedKey,
+  FORMAT,
+  FORMAT_KEY,
   JOB_PREFIX,
-  jobKey,
   jobOfKey,
   LEADER_KEY,
   MEMORY_KEY,
+  MEMORY_PREFIX,
   parseChunkKey,
   RUN_PREFIX,
+  TERM_KEY,
+  type ClassMemory,
+  type FormatRecord,
 } from './wire/records.js';
 import type { Entry } from './wire/state.js';
 import { encodeRedirect, encodeReply, parseReport } from './wire/workers.js';
 
-/** Bytes that one task may take in a chunk, generously. */
-const BYTES_PER_TASK = 64;
 const MOST_COUNTS = 500;
 const MOST_REDIRECTED = 5000;
 
@@ -60,8 +64,7 @@
     ),
     startWithin,
     deadlineTimes,
-    chunkTasks: 8 * Math.max(1, Math.floor((cluster.state.value_kb * 1024) / BYTES_PER_TASK / 8)),
-    txnOps: cluster.state.txn_ops,
+    firstLayout: firstLayout(settings),
     listLag: cluster.cloud.list_lag_s * 1000,
     policy,
   };
@@ -124,6 +127,7 @@
   readonly #heard = new Map<string, HeardStatus>();
   readonly #redirected = new Map<string, number>();
   readonly #deputy: Deputy;
+  readonly #upgrade: Upgrade;
   #nextReply = 1;
   #leader: string | null = null;
   #highestTerm = 0;
@@ -141,7 +145,8 @@
     this.#cloud = ports.cloud;
     this.#clock = clock;
     this.#log = log;
-    this.#deputy = new Deputy(settings.host_name, state, clock, this.#timing);
+    const { value_kb } = lastingLimits(settings);
+    this.#deputy = new Deputy(settings.host_name, state, clock, this.#timing, value_kb * 1024);
     const rules = rulesFor(settings, ports.policy);
     this.#owner = new Owner(createState(settings.host_name, rules), clock, log, (effect) =>
       this.#carryOut(effect),
@@ -165,7 +170,26 @@
       },
       this.#wellPlaced.has(settings.host_name) ? 0 : 4 * this.#timing.tick,
     );
+    this.#upgrade = new Upgrade({
+      settings,
+      state,
+      clock,
+      pause: 2 * this.#timing.longestReport,
+      termStamp: () => this.#owner.state.leadership?.stamp ?? null,
+      hearsEarlier: () =>
+        [...this.#heard.values()].some(
+          ({ status, at }) => status.format < FORMAT && clock.mono() - at < this.#timing.workerLease,
+        ),
+      adopted: (record) => {
+        log.info(record, 'every controller reads the new format');
+        state.keepTo(lastingLimits(settings));
+        this.#owner.push({ kind: 'adopt', layout: lastingLayout(settings, record) });
+      },
+    });
     this.users = new Users({
+      valueBytes: value_kb * 1024,
+      knowsPipelines: async () => (await this.#upgrade.look()) !== null,
+      isSettled: () => this.#isSettled(),
       state,
       clock,
       teams: rules.teams,
@@ -182,6 +206,7 @@
     void this.#keepTicking();
     void this.#keepContact();
     void this.#keepRelays();
+    void this.#upgrade.run();
     this.#log.info({ node: this.settings.host_name, incarnation: this.ports.incarnation }, 'started');
   }
 
@@ -261,9 +286,29 @@
       leading: state.leadership !== null,
       stateAgeMs: this.#stateAgeMs(),
       counts,
+      format: FORMAT,
+      settledAt: this.#settledAt(),
     };
   }
 
+  /** Time of day up to which cancellations have gone through their pipelines; 0 without leading. */
+  #settledAt(): number {
+    const { state } = this.#owner;
+    if (state.leadership === null) return 0;
+    return this.#clock.wall() - (this.#clock.mono() - settledUntil(state));
+  }
+
+  /**
+   * Whether a leader vouches, freshly enough for the bound on cancellations, that no waiting
+   * job needs one that was cancelled. Its word may have been held back: the time of day tells.
+   */
+  #isSettled(): boolean {
+    const fresh = this.#timing.cancel / 2 - 2 * this.settings.cluster.clock_error_ms;
+    const now = this.#clock.wall();
+    if (now - this.#settledAt() < fresh) return true;
+    return [...this.#heard.values()].some(({ status }) => status.leading && now - status.settledAt < fresh);
+  }
+
   onPeer(status: PeerStatus): void {
     const now = this.#clock.mono();
     const before = this.#heard.get(status.node);
@@ -394,10 +439,13 @@
           this.#owner.push({
             kind: 'committed',
             id: effect.id,
-            outcome: outcome.kind === 'noLease' ? { kind: 'refused' } : outcome,
+            outcome,
           });
         });
         break;
+      case 'resolve':
+        void this.#resolve(effect.ids);
+        break;
       case 'recheck':
         void this.#recheck(effect.jobs, effect.chunks);
         break;
@@ -433,19 +481,25 @@
     }
   }
 
+  /** How awaited jobs stand, by the committed records. */
+  async #resolve(ids: readonly string[]): Promise<void> {
+    const found = await Promise.all(
+      ids.map(async (id) => {
+        const job = await readJob(this.#state, id);
+        return [id, job.kind === 'ended' ? job.record : job.kind] as const;
+      }),
+    );
+    this.#owner.push({ kind: 'resolved', found: new Map(found) });
+  }
+
   async #recheck(ids: readonly string[], keys: readonly string[]): Promise<void> {
     const jobs = new Map<string, { live: boolean; ended: EndedRecord | null }>();
     const chunks = new Map<string, number>();
     let whole = true;
     for (const id of ids) {
-      const live = await this.#state.read(jobKey(id));
-      if (live === 'unknown') whole = false;
-      else if (live.entry !== null) jobs.set(id, { live: true, ended: null });
-      else {
-        const ended = await this.#state.read(endedKey(id));
-        if (ended === 'unknown') whole = false;
-        else jobs.set(id, { live: false, ended: decodeEnded(ended.entry?.value) });
-      }
+      const job = await readJob(this.#state, id);
+      if (job.kind === 'unknown') whole = false;
+      else jobs.set(id, { live: job.kind === 'live', ended: job.kind === 'ended' ? job.record : null });
       if (!whole) break;
     }
     for (const key of whole ? keys : []) {
@@ -466,13 +520,14 @@
     this.#log.info({ term: won.term }, 'elected');
     for (;;) {
       const sentAt = this.#clock.mono();
-      const [jobs, runs, memory] = await Promise.all([
+      const [jobs, runs, memory, format] = await Promise.all([
         this.#state.list(JOB_PREFIX),
         this.#state.list(RUN_PREFIX),
-        this.#state.read(MEMORY_KEY),
+        this.#readMemory(),
+        this.#readFormat(won.stamp),
       ]);
       if (this.#leadingTerm !== won.term || this.#highestTerm > won.term) return;
-      if (jobs === 'unknown' || runs === 'unknown' || memory === 'unknown') {
+      if (jobs === 'unknown' || runs === 'unknown' || memory === 'unknown' || format === 'unknown') {
         await this.#clock.sleep(this.#timing.tick);
         continue;
       }
@@ -480,7 +535,8 @@
       for (const { key, value, stamp } of runs.entries) {
         const name = parseChunkKey(key);
         const record = decodeChunk(value);
-        if (name !== null && record !== null) chunks.push({ ...name, record: { value: record, stamp } });
+        if (name !== null && record !== null)
+          chunks.push({ job: name.job, name, record: { value: record, stamp } });
       }
       const { term, stamp } = won;
       this.#owner.push({
@@ -488,15 +544,46 @@
         term,
         stamp,
         provenAt: sentAt,
+        layout: format === null ? firstLayout(this.settings) : lastingLayout(this.settings, format),
+        wide: format?.wide ?? firstLayout(this.settings).tasks,
         jobs: decodeJobs(jobs.entries),
         chunks,
-        memory: decodeMemory(memory.entry?.value),
+        memory,
       });
       await this.#follow(term, jobs.revision);
       return;
     }
   }
 
+  /** What classes have shown, as either version keeps it. */
+  async #readMemory(): Promise<ClassMemory[] | 'unknown'> {
+    const [whole, parts] = await Promise.all([
+      this.#state.read(MEMORY_KEY),
+      this.#state.list(MEMORY_PREFIX),
+    ]);
+    if (whole === 'unknown' || parts === 'unknown') return 'unknown';
+    // The later ones count where a class stands in several.
+    return [whole.entry?.value, ...parts.entries.map(({ value }) => value)].flatMap(decodeMemory);
+  }
+
+  /** The format in force, null if it is not; one whose width has become too large is written anew. */
+  async #readFormat(termStamp: number): Promise<FormatRecord | null | 'unknown'> {
+    const read = await this.#state.read(FORMAT_KEY);
+    if (read === 'unknown') return 'unknown';
+    const known = decodeFormat(read.entry?.value);
+    if (known === null || read.entry === null) return null;
+    const record = formatRecord(this.settings, known);
+    if (record.tasks === known.tasks) return known;
+    const outcome = await this.#state.commit({
+      when: [
+        { key: TERM_KEY, stamp: termStamp },
+        { key: FORMAT_KEY, stamp: read.entry.stamp },
+      ],
+      apply: [{ put: FORMAT_KEY, value: record }],
+    });
+    return outcome.kind === 'applied' ? record : 'unknown';
+  }
+
   /** Watches the jobs while this node leads; each answer proves how fresh its view is. */
   async #follow(term: number, revision: number): Promise<void> {
     let after = revision;
--- a/src/settings.ts
+++ b/src/settings.ts
@@ -38,7 +38,20 @@
       gang_peer_s: v.optional(amount, 0),
       cancel_s: positive,
     }),
-    state: v.object({ rps: positive, write_rps: positive, value_kb: positive, txn_ops: count }),
+    state: v.object({
+      rps: positive,
+      write_rps: positive,
+      value_kb: positive,
+      txn_ops: count,
+      next: v.nullish(
+        v.object({
+          rps: v.nullish(positive),
+          write_rps: v.nullish(positive),
+          value_kb: v.nullish(positive),
+          txn_ops: v.nullish(count),
+        }),
+      ),
+    }),
     cloud: v.object({ rps: positive, list_lag_s: amount }),
     quota: v.object({ cpu: positive, ram_mb: positive, sockets: count }),
     clock_error_ms: amount,
@@ -47,6 +60,29 @@
 
 export type PlatformSettings = v.InferOutput<typeof settingsSchema>;
 
+/** What the state service allows: requests and changes a second, KiB a value, changes a transaction. */
+export interface StateLimits {
+  readonly rps: number;
+  readonly write_rps: number;
+  readonly value_kb: number;
+  readonly txn_ops: number;
+}
+
+/**
+ * The limits to keep to once every controller can: the smaller of those of today and those
+ * to come. When these come is not announced.
+ */
+export function lastingLimits(settings: PlatformSettings): StateLimits {
+  const { state } = settings.cluster;
+  const least = (now: number, next: number | null | undefined): number => Math.min(now, next ?? now);
+  return {
+    rps: least(state.rps, state.next?.rps),
+    write_rps: least(state.write_rps, state.next?.write_rps),
+    value_kb: least(state.value_kb, state.next?.value_kb),
+    txn_ops: least(state.txn_ops, state.next?.txn_ops),
+  };
+}
+
 export interface Address {
   readonly host: string;
   readonly port: number;
--- /dev/null
+++ b/src/upgrade.ts
@@ -0,0 +1,135 @@
+/**
+ * Versions side by side. Each process declares in the state service what it can read; once
+ * every configured controller has, the leader writes the `format` key, which never goes.
+ * From then on what earlier programs would misread may be written, and the limits that the
+ * state service will have some day are kept to. Until then everything is written as they do.
+ */
+import type { StateService } from './adapters/state.js';
+import type { Clock } from './clock.js';
+import type { Layout } from './core/state.js';
+import { lastingLimits, type PlatformSettings, type StateLimits } from './settings.js';
+import { decodeFormat, FORMAT, FORMAT_KEY, TERM_KEY, VERSION_PREFIX, versionKey } from './wire/records.js';
+import type { FormatRecord } from './wire/records.js';
+
+/** Bytes that one task may take in a chunk, generously: as the first versions write it, and as this does. */
+const BYTES_PER_TASK = 64;
+const SMALL_BYTES_PER_TASK = 28;
+/** Share of the state service's changes that a leader takes; the rest is for submissions. */
+const WRITE_SHARE = 0.6;
+
+const wholeBytes = (bytes: number): number => 8 * Math.max(1, Math.floor(bytes / 8));
+
+function layout(limits: StateLimits, width: number | null, tasks: number): Layout {
+  const writeRate = WRITE_SHARE * limits.write_rps;
+  return {
+    width,
+    tasks,
+    txnOps: limits.txn_ops,
+    valueBytes: limits.value_kb * 1024,
+    writeRate,
+    writeBurst: Math.max(writeRate, limits.txn_ops),
+  };
+}
+
+/** How the first versions write: their chunks are as wide as a value allows. */
+export function firstLayout({ cluster: { state } }: PlatformSettings): Layout {
+  return layout(state, null, wholeBytes((state.value_kb * 1024) / BYTES_PER_TASK));
+}
+
+/**
+ * How this version writes from the switch on. Records that are wide by the first version's
+ * measure stay as they are where they will go on fitting. The width once written down only
+ * shrinks, for a narrower record outranks a wider one.
+ */
+export function lastingLayout(settings: PlatformSettings, { wide, tasks }: FormatRecord): Layout {
+  const limits = lastingLimits(settings);
+  const least = Math.min(tasks, fittingTasks(limits));
+  return least < wide ? layout(limits, least, least) : layout(limits, null, wide);
+}
+
+const fittingTasks = (limits: StateLimits): number =>
+  wholeBytes((limits.value_kb * 1024) / SMALL_BYTES_PER_TASK - 8);
+
+/** What the format key is to say, given what it says. */
+export function formatRecord(settings: PlatformSettings, known: FormatRecord | null): FormatRecord {
+  const fitting = fittingTasks(lastingLimits(settings));
+  if (known !== null) return { ...known, tasks: Math.min(known.tasks, fitting) };
+  const wide = firstLayout(settings).tasks;
+  return { format: FORMAT, wide, tasks: Math.min(wide, fitting) };
+}
+
+export interface UpgradeContext {
+  readonly settings: PlatformSettings;
+  readonly state: StateService;
+  readonly clock: Clock;
+  /** Time between two looks, in milliseconds. */
+  readonly pause: number;
+  /** The stamp of the term while this node leads, else null. */
+  termStamp(): number | null;
+  /** Whether a controller that cannot read the format is heard now. */
+  hearsEarlier(): boolean;
+  /** Called once, when the format is known to be in force. */
+  adopted(record: FormatRecord): void;
+}
+
+export class Upgrade {
+  #record: FormatRecord | null = null;
+
+  constructor(private readonly context: UpgradeContext) {}
+
+  /** The format in force, as far as this node knows; it never goes back. */
+  get record(): FormatRecord | null {
+    return this.#record;
+  }
+
+  async run(): Promise<void> {
+    const { state, clock, settings, pause } = this.context;
+    let declared = false;
+    while (this.#record === null) {
+      if (!declared) {
+        const write = { put: versionKey(settings.host_name), value: { format: FORMAT } };
+        declared = (await state.commit({ when: [], apply: [write] })).kind === 'applied';
+      }
+      if ((await this.look()) === null) await this.#switch();
+      if (this.#record === null) await clock.sleep(pause);
+    }
+  }
+
+  /** Reads whether the format is in force; null: not known to be. */
+  async look(): Promise<FormatRecord | null> {
+    if (this.#record !== null) return this.#record;
+    const read = await this.context.state.read(FORMAT_KEY);
+    if (read !== 'unknown' && read.entry !== null) this.#adopt(decodeFormat(read.entry.value));
+    return this.#record;
+  }
+
+  #adopt(record: FormatRecord | null): void {
+    if (record === null || record.format < FORMAT || this.#record !== null) return;
+    this.#record = record;
+    this.context.adopted(record);
+  }
+
+  /** As the leader, puts the format in force once all controllers have declared that they read it. */
+  async #switch(): Promise<void> {
+    const { state, settings, termStamp, hearsEarlier } = this.context;
+    const stamp = termStamp();
+    if (stamp === null || hearsEarlier()) return;
+    const found = await state.list(VERSION_PREFIX);
+    if (found === 'unknown') return;
+    const able = new Set(
+      found.entries.filter(({ value }) => (decodeFormat(value)?.format ?? 0) >= FORMAT).map(({ key }) => key),
+    );
+    const nodes = [settings.host_name, ...settings.others.map(({ host_name }) => host_name)];
+    if (!nodes.every((node) => able.has(versionKey(node)))) return;
+    const record = formatRecord(settings, null);
+    const outcome = await state.commit({
+      when: [
+        { key: TERM_KEY, stamp },
+        { key: FORMAT_KEY, stamp: 0 },
+      ],
+      apply: [{ put: FORMAT_KEY, value: record }],
+    });
+    // Without an answer the next look tells.
+    if (outcome.kind === 'applied') this.#adopt(record);
+  }
+}
--- a/src/wire/peers.ts
+++ b/src/wire/peers.ts
@@ -15,6 +15,13 @@
   /** Milliseconds since the state service last answered this node. */
   readonly stateAgeMs: number;
   readonly counts: readonly JobCount[];
+  /** The format that it can read; 0: a version that does not say, which reads format 1. */
+  readonly format: number;
+  /**
+   * Time of day, in milliseconds, up to which every cancellation has gone through its
+   * pipeline, as a leader knows; 0: unknown.
+   */
+  readonly settledAt: number;
 }
 
 const root = protobuf.Root.fromJSON({
@@ -34,6 +41,9 @@
         leading: { type: 'bool', id: 4 },
         stateAgeMs: { type: 'uint32', id: 5 },
         counts: { rule: 'repeated', type: 'JobCount', id: 6 },
+        // Versions before pipelines leave these out, and skip them.
+        format: { type: 'uint32', id: 7 },
+        settledAt: { type: 'double', id: 8 },
       },
     },
   },
--- a/src/wire/users.ts
+++ b/src/wire/users.ts
@@ -53,6 +53,10 @@
     if (zone !== null && !isText(zone)) throw new Invalid('hall must be null or a text');
     const deadlineS = optional('curtainS');
     if (deadlineS !== null && !isAmount(deadlineS)) throw new Invalid('curtainS must be null or a number');
+    const awaits = optional('awaits') ?? [];
+    if (!Array.isArray(awaits) || !awaits.every((name) => isText(name) && JOB_ID.test(name))) {
+      throw new Invalid('awaits must be null or a list of job ids');
+    }
     return {
       ok: true,
       value: {
@@ -77,6 +81,7 @@
         saveS: amount('bookmarkWriteS'),
         deadlineS,
         submittedAt: now,
+        ...(awaits.length === 0 ? {} : { awaits: [...new Set(awaits as string[])] }),
       },
     };
   } catch (error) {
@@ -92,6 +97,8 @@
   readonly stage: JobStage;
   readonly done?: number;
   readonly running?: number;
+  /** Jobs that it waits for, as far as this node knows. */
+  readonly awaits?: readonly string[];
 }
 
 export function encodeJobView(view: JobView): object {
@@ -100,5 +107,6 @@
     stage: view.stage,
     ...(view.done === undefined ? {} : { done: view.done }),
     ...(view.running === undefined ? {} : { running: view.running }),
+    ...(view.awaits === undefined || view.awaits.length === 0 ? {} : { awaits: view.awaits }),
   };
 }
--- a/test/guards.test.ts
+++ b/test/guards.test.ts
@@ -233,9 +233,11 @@
     term: TERM,
     stamp: 100,
     provenAt: bench.now,
+    layout: bench.state.layout,
+    wide: bench.state.wide,
     memory: [],
     jobs: [{ value: job('req-1', 3, 4, 50), stamp: 50 }],
-    chunks: [{ job: 'req-1', chunk: 0, record: { value: record, stamp: 60 } }],
+    chunks: [{ job: 'req-1', name: { index: 0, width: null }, record: { value: record, stamp: 60 } }],
   });
   bench.now += bench.state.rules.timing.silence + 1000;
   expect(bench.do({ kind: 'tick' })).toContainEqual({ kind: 'return', machines: ['p', 'q', 'r'] });
@@ -355,9 +357,11 @@
     term: TERM,
     stamp: 100,
     provenAt: bench.now,
+    layout: bench.state.layout,
+    wide: bench.state.wide,
     memory: [],
     jobs: [{ value: job('req-1', 1, 4, 50), stamp: 50 }],
-    chunks: [{ job: 'req-1', chunk: 0, record: { value: record, stamp: 60 } }],
+    chunks: [{ job: 'req-1', name: { index: 0, width: null }, record: { value: record, stamp: 60 } }],
   });
   bench.now += 3000;
   // Another machine has room, but the task may be on m: it stays put, with its attempt.
--- a/test/server.test.ts
+++ b/test/server.test.ts
@@ -25,6 +25,7 @@
   renew: () => Promise.resolve(null),
   revoke: () => Promise.resolve(),
   contactAt: () => null,
+  keepTo: () => undefined,
 };
 let types = new Map(TYPES.map((type) => [type.name, type]));
 const users = new Users({
@@ -32,6 +33,9 @@
   clock: systemClock,
   teams: new Map([['crew', { cpus: 0, cpusMax: 8, gpus: 0, gpusMax: 0 }]]),
   patience: 100,
+  valueBytes: 2048,
+  knowsPipelines: () => Promise.resolve(true),
+  isSettled: () => true,
   types: () => types,
   counts: () => null,
 });
--- a/test/standins/core.ts
+++ b/test/standins/core.ts
@@ -143,7 +143,19 @@
     step(this.state, [{ kind: 'catalog', types }], this.time());
     step(
       this.state,
-      [{ kind: 'lead', term: TERM, stamp: TERM_STAMP, provenAt: this.now, jobs: [], chunks: [], memory: [] }],
+      [
+        {
+          kind: 'lead',
+          term: TERM,
+          stamp: TERM_STAMP,
+          provenAt: this.now,
+          layout: this.state.layout,
+          wide: this.state.wide,
+          jobs: [],
+          chunks: [],
+          memory: [],
+        },
+      ],
       this.time(),
     );
     this.now += 2000;
--- a/test/standins/state.ts
+++ b/test/standins/state.ts
@@ -1,5 +1,6 @@
 /** The state service, as PROTOCOL tells of it. */
 import type { Commit, Read, StateService, Watch } from '../../src/adapters/state.js';
+import type { StateLimits } from '../../src/settings.js';
 import type { Change, Entry, Transaction } from '../../src/wire/state.js';
 import type { Network } from './network.js';
 
@@ -18,7 +19,12 @@
   #nextLease = 1;
   readonly #changes: Change[] = [];
   #waiting: (() => void)[] = [];
+  /** Transactions refused for their size. */
+  rejected = 0;
   #outageUntil = 0;
+  limits: StateLimits = { rps: Infinity, write_rps: Infinity, value_kb: 32, txn_ops: 32 };
+  #level = 0;
+  #levelAt = 0;
   readonly #refused = new Map<string, number>();
 
   constructor(readonly network: Network) {}
@@ -64,11 +70,35 @@
     for (const wake of waiting) wake();
   }
 
+  /** Changes a second, with bursts of one second's worth; failing transactions count as well. */
+  #withinRate(changes: number): boolean {
+    const { write_rps } = this.limits;
+    if (write_rps === Infinity) return true;
+    const { now } = this.network.clock;
+    this.#level = Math.min(write_rps, this.#level + ((now - this.#levelAt) / 1000) * write_rps);
+    this.#levelAt = now;
+    if (this.#level < changes) return false;
+    this.#level -= changes;
+    return true;
+  }
+
   commit(txn: Transaction): Commit {
     this.expire();
+    const { txn_ops, value_kb } = this.limits;
+    const bytes = (value: unknown): number => Buffer.byteLength(JSON.stringify(value));
+    if (
+      txn.apply.length > txn_ops ||
+      txn.when.length > 4 * txn_ops ||
+      bytes(txn) > 64 * 1024 ||
+      txn.apply.some((write) => 'put' in write && bytes(write.value) > value_kb * 1024)
+    ) {
+      this.rejected += 1;
+      return { kind: 'rejected' };
+    }
+    if (!this.#withinRate(txn.apply.length)) return { kind: 'refused' };
     for (const write of txn.apply) {
       if ('put' in write && write.lease !== undefined && !this.#leases.has(write.lease))
-        return { kind: 'noLease' };
+        return { kind: 'rejected' };
     }
     const failed = txn.when.filter(({ key, stamp }) => (this.keys.get(key)?.stamp ?? 0) !== stamp);
     if (failed.length > 0) return { kind: 'failed', keys: failed.map(({ key }) => key) };
@@ -173,6 +203,10 @@
     return this.#contactAt;
   }
 
+  keepTo(): void {
+    // The service itself enforces its limits.
+  }
+
   async read(key: string): Promise<Read> {
     const answer = await this.#ask(() => ({ entry: this.service.read(key) }));
     return answer === null || answer === 'down' ? 'unknown' : answer;
--- a/test/wire.test.ts
+++ b/test/wire.test.ts
@@ -12,6 +12,8 @@
   leading: true,
   stateAgeMs: 12,
   counts: [{ id: 'req-1', done: 3, running: 0 }],
+  format: 2,
+  settledAt: 12.5,
 };
 
 test('peer messages survive any cutting of the stream', () => {
