--- a/src/core/ledger.ts
+++ b/src/core/ledger.ts
@@ -257,7 +257,15 @@
     const { stamp, value } = one.record;
     if (one.name.width === state.layout.width) {
       const { index } = one.name;
-      job.chunks.set(index, { index, stamp, version: 0, committed: 0, claimed: 0, waitsFrom: null, blockedUntil: 0 });
+      job.chunks.set(index, {
+        index,
+        stamp,
+        version: 0,
+        committed: 0,
+        claimed: 0,
+        waitsFrom: null,
+        blockedUntil: 0,
+      });
     } else job.older.set(chunkKey(one.job, one.name), { stamp, first, end });
     loadRecord(state, job, value, first, isNews, now, machineOf);
     covered.set(job, [...before, [first, end]]);
@@ -516,7 +524,8 @@
   if (isComplete(job) || state.doomed.has(job)) return false;
   for (const older of job.older.values()) {
     if (older.stamp === null) return false;
-    const due = job.over === null ? areHeld(state, job, older) : claimsIn(job, [older.first, older.end]) === 0;
+    const due =
+      job.over === null ? areHeld(state, job, older) : claimsIn(job, [older.first, older.end]) === 0;
     if (due) return false;
   }
   for (const chunk of job.chunks.values()) {
--- a/src/node.ts
+++ b/src/node.ts
@@ -557,10 +557,7 @@
 
   /** What classes have shown, as either version keeps it. */
   async #readMemory(): Promise<ClassMemory[] | 'unknown'> {
-    const [whole, parts] = await Promise.all([
-      this.#state.read(MEMORY_KEY),
-      this.#state.list(MEMORY_PREFIX),
-    ]);
+    const [whole, parts] = await Promise.all([this.#state.read(MEMORY_KEY), this.#state.list(MEMORY_PREFIX)]);
     if (whole === 'unknown' || parts === 'unknown') return 'unknown';
     // The later ones count where a class stands in several.
     return [whole.entry?.value, ...parts.entries.map(({ value }) => value)].flatMap(decodeMemory);
