--- a/eslint.config.js
+++ b/eslint.config.js
@@ -6,7 +6,7 @@
   {
     rules: {
       '@typescript-eslint/no-explicit-any': 'error',
-      '@typescript-eslint/no-unused-vars': ['error', { argsIgnorePattern: '^_' }],
+      '@typescript-eslint/no-unused-vars': ['error', { argsIgnorePattern: '^_', ignoreRestSiblings: true }],
       // Events and late results use methods as statements on purpose.
       '@typescript-eslint/no-invalid-void-type': 'off',
     },
--- a/src/adapters/users.ts
+++ b/src/adapters/users.ts
@@ -4,7 +4,7 @@
 import type { TeamLimits } from '../core/state.js';
 import type { EndedRecord, JobSpec, MachineType } from '../core/types.js';
 import { decodeEnded, decodeJob, endedKey, jobBytes, jobKey } from '../wire/records.js';
-import type { Write } from '../wire/state.js';
+import type { Condition, Write } from '../wire/state.js';
 import { encodeJobView, JOB_ID, parseSubmission, type JobView } from '../wire/users.js';
 import type { StateService } from './state.js';
 
@@ -41,6 +41,13 @@
   return record === null ? { kind: 'unknown' } : { kind: 'ended', record };
 }
 
+/** How a new job is entered. */
+interface Entry {
+  readonly when: readonly Condition[];
+  readonly write: Write;
+  readonly stage: 'pending' | 'withdrawn';
+}
+
 export interface UsersContext {
   readonly state: StateService;
   readonly clock: Clock;
@@ -49,6 +56,8 @@
   readonly patience: number;
   /** Bytes that a description may take, now and later. */
   readonly valueBytes: number;
+  /** Conditions that a transaction may have, now and later. */
+  readonly conditions: number;
   /** Whether every controller is known to understand pipelines. */
   knowsPipelines(): Promise<boolean>;
   /** Whether a leader has freshly vouched that every cancellation has gone through its pipeline. */
@@ -118,46 +127,46 @@
     if (!parsed.ok) return { status: 400, body: { error: parsed.reason } };
     const spec = parsed.value;
     const { id } = spec;
-    if (this.#ended.has(id)) return this.#view(id, await this.#find(id));
+    if (this.#ended.has(id)) return this.#tell(id, await this.#find(id));
     if (this.context.types().size === 0) return RETRY;
     const reason = this.#impossible(spec);
     if (reason !== null) {
       // One that was accepted once stays accepted, whatever is sent under its name.
       const found = await this.#find(id);
-      return found.kind === 'none' ? { status: 422, body: { error: reason } } : this.#view(id, found);
+      return found.kind === 'none' ? { status: 422, body: { error: reason } } : this.#tell(id, found);
     }
-    const entry = await this.#entry(spec);
-    if ('status' in entry) return entry;
+    const own = [jobKey(id), endedKey(id)];
     const until = this.context.clock.mono() + this.context.patience;
     do {
+      const entry = await this.#entry(spec);
+      if ('status' in entry) return entry;
       const outcome = await this.context.state.commit({
-        when: [
-          { key: jobKey(id), stamp: 0 },
-          { key: endedKey(id), stamp: 0 },
-        ],
+        when: [...own.map((key) => ({ key, stamp: 0 })), ...entry.when],
         apply: [entry.write],
       });
       if (outcome.kind === 'applied') return { status: 201, body: encodeJobView({ id, stage: entry.stage }) };
-      if (outcome.kind === 'failed') return this.#view(id, await this.#find(id));
+      // What it awaits has ended meanwhile: that is looked at anew.
+      if (outcome.kind === 'failed' && !outcome.keys.some((key) => own.includes(key))) continue;
+      if (outcome.kind === 'failed') return this.#tell(id, await this.#find(id));
       if (outcome.kind !== 'unknown') return RETRY;
       const found = await this.#find(id);
-      if (found.kind === 'live' || found.kind === 'ended') return this.#view(id, found);
+      if (found.kind === 'live' || found.kind === 'ended') return this.#tell(id, found);
     } while (this.context.clock.mono() < until);
     return RETRY;
   }
 
   /** What to write for a new job, or the answer that it gets instead. */
-  async #entry(spec: JobSpec): Promise<UserAnswer | { write: Write; stage: 'pending' | 'withdrawn' }> {
+  async #entry(spec: JobSpec): Promise<UserAnswer | Entry> {
     const { id, awaits = [] } = spec;
     const most = Math.floor(this.context.valueBytes);
     // One that was accepted once stays accepted, whatever is sent under its name.
     const refuse = async (status: number, error: string): Promise<UserAnswer> => {
       const found = await this.#find(id);
-      return found.kind === 'none' ? { status, body: { error } } : this.#view(id, found);
+      return found.kind === 'none' ? { status, body: { error } } : this.#tell(id, found);
     };
     if (jobBytes(spec) > most)
       return refuse(400, `the description takes more than ${most} bytes: awaits or a name is too long`);
-    const live = { write: { put: jobKey(id), value: spec }, stage: 'pending' as const };
+    const live: Entry = { when: [], write: { put: jobKey(id), value: spec }, stage: 'pending' };
     if (awaits.length === 0) return live;
     // A program of before would start it at once.
     if (!(await this.context.knowsPipelines())) return RETRY;
@@ -169,15 +178,26 @@
     const endless = found.find((other) => other.kind === 'live' && other.spec.form === 'service');
     if (endless !== undefined) return refuse(422, 'awaits a service, which never ends');
     const cancelled = found.some((other) => other.kind === 'ended' && other.record.stage === 'withdrawn');
-    if (!cancelled) return live;
+    if (!cancelled) {
+      // Applied late, after one of these was cancelled, it would be a job that nobody has withdrawn.
+      const when = awaits.flatMap((other, i) => {
+        const job = found[i];
+        return job?.kind === 'live' ? [{ key: jobKey(other), stamp: job.stamp }] : [];
+      });
+      return { ...live, when: when.slice(0, this.context.conditions - 2) };
+    }
     const at = Math.round(this.context.clock.wall());
     const record: EndedRecord = { stage: 'withdrawn', tasks: spec.tasks, done: 0, at };
-    return { write: { put: endedKey(id), value: record }, stage: 'withdrawn' };
+    return { when: [], write: { put: endedKey(id), value: record }, stage: 'withdrawn' };
   }
 
   async show(id: string): Promise<UserAnswer> {
     if (!JOB_ID.test(id)) return NOT_FOUND;
-    const found = await this.#find(id);
+    return this.#tell(id, await this.#find(id));
+  }
+
+  /** What a user is told of a job: of one that waits, only with word of what it needs. */
+  async #tell(id: string, found: FoundJob): Promise<UserAnswer> {
     if (found.kind !== 'live' || (found.spec.awaits ?? []).length === 0 || this.context.isSettled())
       return this.#view(id, found);
     // Nobody vouches that what it needs still can be done: that is read here, and acted on.
--- a/src/core/pipelines.ts
+++ b/src/core/pipelines.ts
@@ -18,22 +18,23 @@
 /** Whether nothing that a job awaits is still to be done. */
 export const isReady = (job: JobState): boolean => job.waitsFor.size === 0;
 
-function ask(state: CoreState, id: string): void {
-  if (state.unresolved.has(id)) return;
-  // What the view held before its latest proof had been settled.
-  state.unresolved.set(id, { since: state.leadership?.provenAt ?? 0, notBefore: 0 });
+/** What the view held at its latest proof had been settled: what is learned now came after. */
+const sinceProof = (state: CoreState): number => state.leadership?.provenAt ?? 0;
+
+function ask(state: CoreState, id: string, since = sinceProof(state)): void {
+  if (!state.unresolved.has(id)) state.unresolved.set(id, { since, notBefore: 0 });
 }
 
 /** To be withdrawn: one that it needs is. It cannot have a task out, for that one was never done. */
-function doom(state: CoreState, job: JobState): void {
+function doom(state: CoreState, job: JobState, since: number): void {
   if (job.over !== null || state.doomed.has(job)) return;
-  state.doomed.set(job, state.leadership?.provenAt ?? 0);
+  state.doomed.set(job, since);
   state.unsaved.add(job);
 }
 
-function settle(state: CoreState, job: JobState, final: Final, id: string): void {
+function settle(state: CoreState, job: JobState, final: Final, id: string, since: number): void {
   if (final.stage === 'withdrawn') {
-    doom(state, job);
+    doom(state, job, since);
     return;
   }
   job.waitsFor.delete(id);
@@ -50,7 +51,7 @@
     job.waitsFor.add(id);
     const final = state.finals.get(id);
     if (final !== undefined) {
-      settle(state, job, final, id);
+      settle(state, job, final, id, sinceProof(state));
       continue;
     }
     const others = state.dependents.get(id);
@@ -87,6 +88,7 @@
 /** A job has left the queue. Without its committed record, what waits for it learns only from that. */
 export function leavePipeline(state: CoreState, job: JobState, final: Final | null): void {
   const { id, awaits } = job.spec;
+  const since = state.doomed.get(job);
   state.doomed.delete(job);
   for (const needed of awaits ?? []) {
     const others = state.dependents.get(needed);
@@ -95,23 +97,24 @@
     state.dependents.delete(needed);
     state.unresolved.delete(needed);
   }
-  if (final !== null) learnFinal(state, id, final);
-  else if (state.dependents.has(id)) ask(state, id);
+  if (final !== null) learnFinal(state, id, final, since);
+  else if (state.dependents.has(id)) ask(state, id, since);
 }
 
 /** What the committed record of a job says of its end. */
-function learnFinal(state: CoreState, id: string, final: Final): void {
+function learnFinal(state: CoreState, id: string, final: Final, since = sinceProof(state)): void {
   state.finals.delete(id);
   state.finals.set(id, final);
   for (const oldest of state.finals.keys()) {
     if (state.finals.size <= MOST_FINALS) break;
     state.finals.delete(oldest);
   }
+  const from = Math.min(since, state.unresolved.get(id)?.since ?? Infinity);
   state.unresolved.delete(id);
   const waiting = state.dependents.get(id);
   if (waiting === undefined) return;
   state.dependents.delete(id);
-  for (const job of waiting) settle(state, job, final, id);
+  for (const job of waiting) settle(state, job, final, id, from);
 }
 
 export const finalOf = (record: EndedRecord, now: Now): Final => ({
--- a/src/node.ts
+++ b/src/node.ts
@@ -145,7 +145,7 @@
     this.#cloud = ports.cloud;
     this.#clock = clock;
     this.#log = log;
-    const { value_kb } = lastingLimits(settings);
+    const { value_kb, txn_ops } = lastingLimits(settings);
     this.#deputy = new Deputy(settings.host_name, state, clock, this.#timing, value_kb * 1024);
     const rules = rulesFor(settings, ports.policy);
     this.#owner = new Owner(createState(settings.host_name, rules), clock, log, (effect) =>
@@ -188,6 +188,7 @@
     });
     this.users = new Users({
       valueBytes: value_kb * 1024,
+      conditions: 4 * txn_ops,
       knowsPipelines: async () => (await this.#upgrade.look()) !== null,
       isSettled: () => this.#isSettled(),
       state,
--- a/test/server.test.ts
+++ b/test/server.test.ts
@@ -27,6 +27,8 @@
   contactAt: () => null,
   keepTo: () => undefined,
 };
+let settled = true;
+let understood = true;
 let types = new Map(TYPES.map((type) => [type.name, type]));
 const users = new Users({
   state: service,
@@ -34,8 +36,9 @@
   teams: new Map([['crew', { cpus: 0, cpusMax: 8, gpus: 0, gpusMax: 0 }]]),
   patience: 100,
   valueBytes: 2048,
-  knowsPipelines: () => Promise.resolve(true),
-  isSettled: () => true,
+  conditions: 24,
+  knowsPipelines: () => Promise.resolve(understood),
+  isSettled: () => settled,
   types: () => types,
   counts: () => null,
 });
@@ -98,6 +101,9 @@
   ['an unknown priority', { ...good, urgency: 'urgent' }],
   ['an unknown form', { ...good, form: 'choir' }],
   ['a bad id', { ...good, nameId: 'job-1' }],
+  ['a list of awaited jobs that is none', { ...good, awaits: 'req-000001' }],
+  ['an awaited job whose id is none', { ...good, awaits: ['req-000001', 'job-2'] }],
+  ['a description too long to be kept', { ...good, repertoire: 'x'.repeat(2000) }],
   ['a body over 64 KiB', { ...good, edition: 'x'.repeat(70_000) }],
 ])('%s gets 400 and one line of reason', async (_what, body) => {
   const answer = await post(body);
@@ -134,6 +140,74 @@
   expect(await post({ ...good, crew: 'nobody' })).toMatchObject(withdrawn);
 });
 
+const withdraw = (id: string): Promise<Answer> => client.call('POST', `/v2/runs/${id}/withdraw`, null, 5000);
+const done = (id: string): void => {
+  const record = { stage: 'done', tasks: 2, done: 2 };
+  state.commit({ when: [], apply: [{ remove: `job/${id}` }, { put: `ended/${id}`, value: record }] });
+};
+
+test('awaited jobs: accepted if they were, 422 if they never were, known again whatever happens', async () => {
+  const first = { ...good, nameId: 'req-000010', awaits: [] };
+  const last = { ...good, nameId: 'req-000011', awaits: ['req-000010', 'req-000010'] };
+  expect((await post(last)).status).toBe(422);
+  expect((await post({ ...last, awaits: ['req-000011'] })).status).toBe(422);
+  expect((await post(first)).status).toBe(201);
+  expect(await post(last)).toMatchObject({ status: 201, body: { stage: 'pending' } });
+  // Doubles count once; what it waits for is told, and not what is done.
+  expect(state.read('job/req-000011')?.value).toMatchObject({ awaits: ['req-000010'] });
+  expect((await get('/v2/runs/req-000011')).body).toMatchObject({ awaits: ['req-000010'] });
+  done('req-000010');
+  await get('/v2/runs/req-000010');
+  expect((await get('/v2/runs/req-000011')).body).not.toHaveProperty('awaits');
+  expect(await post({ ...last, awaits: ['req-000099'] })).toMatchObject({ status: 200 });
+  const forever = { ...good, nameId: 'req-000012', form: 'service' };
+  expect((await post(forever)).status).toBe(201);
+  expect((await post({ ...good, nameId: 'req-000013', awaits: ['req-000012'] })).status).toBe(422);
+});
+
+test('a job that names a cancelled one is accepted, and withdrawn', async () => {
+  expect((await post({ ...good, nameId: 'req-000020' })).status).toBe(201);
+  await withdraw('req-000020');
+  const late = { ...good, nameId: 'req-000021', awaits: ['req-000020'] };
+  expect(await post(late)).toMatchObject({ status: 201, body: { stage: 'withdrawn' } });
+  expect(await get('/v2/runs/req-000021')).toMatchObject({ status: 200, body: { stage: 'withdrawn' } });
+});
+
+// A node that answers polls while no leader works would call it pending for ever.
+test('without word of a leader, a poll looks through the pipeline itself', async () => {
+  const chain = ['req-000030', 'req-000031', 'req-000032'];
+  for (const [i, nameId] of chain.entries())
+    expect((await post({ ...good, nameId, awaits: chain.slice(Math.max(0, i - 1), i) })).status).toBe(201);
+  await withdraw('req-000030');
+  expect((await get('/v2/runs/req-000032')).body).toMatchObject({ stage: 'pending' });
+  settled = false;
+  expect((await get('/v2/runs/req-000032')).body).toMatchObject({ stage: 'withdrawn' });
+  settled = true;
+  expect((await get('/v2/runs/req-000032')).body).toMatchObject({ stage: 'withdrawn' });
+});
+
+// Entered late, after the cancellation has gone through, nobody would withdraw it.
+test('a submission is entered only while what it awaits is as it was read', async () => {
+  expect((await post({ ...good, nameId: 'req-000040' })).status).toBe(201);
+  const stamp = state.read('job/req-000040')?.stamp;
+  let seen: readonly { key: string; stamp: number }[] = [];
+  const commit = service.commit.bind(service);
+  service.commit = (txn) => {
+    seen = txn.when;
+    return commit(txn);
+  };
+  await post({ ...good, nameId: 'req-000041', awaits: ['req-000040'] });
+  service.commit = commit;
+  expect(seen).toContainEqual({ key: 'job/req-000040', stamp });
+});
+
+test('before every controller understands pipelines: 503, and nothing is written', async () => {
+  understood = false;
+  expect((await post({ ...good, nameId: 'req-000051', awaits: ['req-000040'] })).status).toBe(503);
+  understood = true;
+  expect(state.read('job/req-000051')).toBeNull();
+});
+
 test('while the state service is away: 503 at once, never 404', async () => {
   down = true;
   expect((await get('/v2/runs/req-000077')).status).toBe(503);
