--- a/test/standins/core.ts
+++ b/test/standins/core.ts
@@ -137,8 +137,8 @@
   #stamp = TERM_STAMP;
   #reply = 0;
 
-  constructor(cpusMax = 0, types: MachineType[] = [EIGHT]) {
-    const settings = testSettings(0, cpusMax);
+  constructor(cpusMax = 0, types: MachineType[] = [EIGHT], limits: object = {}) {
+    const settings = testSettings(0, cpusMax, limits);
     this.state = createState('n-0', rulesFor(settings, createPolicy(settings)));
     step(this.state, [{ kind: 'catalog', types }], this.time());
     step(
--- /dev/null
+++ b/test/upgrade.test.ts
@@ -0,0 +1,247 @@
+/** Versions side by side, and the way over to small limits. */
+import { readFileSync } from 'node:fs';
+import protobuf from 'protobufjs/light.js';
+import { expect, test } from 'vitest';
+import type { Effect } from '../src/core/effects.js';
+import type { Claim } from '../src/core/types.js';
+import { parseSettings, settingsFaults } from '../src/settings.js';
+import { firstLayout, formatRecord, lastingLayout } from '../src/upgrade.js';
+import { encodeStatus, StatusReader } from '../src/wire/peers.js';
+import {
+  chunkKey,
+  decodeChunk,
+  decodeMemory,
+  encodeChunk,
+  encodeSmallChunk,
+  packMachines,
+  packMemory,
+  parseChunkKey,
+} from '../src/wire/records.js';
+import { CoreBench, job, report, task, TERM } from './standins/core.js';
+import { seeded, testSettings, TIGHT, World } from './standins/world.js';
+
+interface Kept {
+  readonly revision: number;
+  readonly keys: readonly { key: string; value: unknown; stamp: number }[];
+  readonly status: string;
+}
+const production = JSON.parse(readFileSync(new URL('data/production.json', import.meta.url), 'utf8')) as Kept;
+
+test('what production has stored is taken over, narrowed, and brought to its end', async () => {
+  const world = new World(seeded(3), { limits: TIGHT });
+  world.shrink();
+  world.cloud.capacity = 12;
+  world.state.revision = production.revision;
+  for (const { key, value, stamp } of production.keys)
+    world.state.keys.set(key, { value, stamp, lease: null });
+  const place = { team: 'crew', cpus: 1, memoryGb: 2, spot: true, zone: null, oneZone: false, spread: false };
+  for (const [i, tasks] of [3, 90, 40, 12, 150].entries()) {
+    const id = `req-00000${i}`;
+    if (i === 3) continue;
+    void world.user({ id, tasks, ...place }, null);
+  }
+  await world.clock.runUntil(180_000);
+  // What production saw completed is not run again, so the checker has not seen all of it run.
+  expect(world.checker.broken.filter((rule) => !rule.startsWith('not_done'))).toEqual([]);
+  expect(world.checker.unfinished()).toEqual([]);
+  expect([...world.state.keys.keys()].filter((key) => /^(run|job)\//.test(key))).toEqual([]);
+  expect(world.state.rejected).toBe(0);
+});
+
+test('peers of either version read what the other says', () => {
+  const [status] = new StatusReader().push(Buffer.from(production.status, 'base64'));
+  expect(status).toMatchObject({ node: 'n-0', term: 7, leading: true, format: 0, settledAt: 0 });
+  // Fields as production declares them.
+  const earlier = protobuf.Root.fromJSON({
+    nested: {
+      PeerStatus: {
+        fields: {
+          node: { type: 'string', id: 1 },
+          incarnation: { type: 'string', id: 2 },
+          term: { type: 'double', id: 3 },
+          leading: { type: 'bool', id: 4 },
+          stateAgeMs: { type: 'uint32', id: 5 },
+        },
+      },
+    },
+  }).lookupType('PeerStatus');
+  const own = encodeStatus({
+    node: 'n-1',
+    incarnation: 'y',
+    term: 8,
+    leading: true,
+    stateAgeMs: 3,
+    counts: [],
+    format: 2,
+    settledAt: 1e12,
+  });
+  expect(earlier.toObject(earlier.decodeDelimited(own))).toMatchObject({ node: 'n-1', term: 8 });
+});
+
+test('a controller that is not known to be new keeps the format back; service goes on', async () => {
+  const world = new World(seeded(6), { limits: TIGHT, earlier: true });
+  world.upgrade(0, 2000);
+  world.upgrade(1, 2000);
+  const place = { cpus: 1, memoryGb: 2, spot: true, zone: null, oneZone: false, spread: false };
+  void world.user({ id: 'req-000001', team: 'crew', tasks: 30, ...place }, null);
+  await world.clock.runUntil(60_000);
+  expect(world.checker.unfinished()).toEqual([]);
+  expect(world.state.read('format')).toBeNull();
+  world.upgrade(2, 2000);
+  await world.clock.runUntil(75_000);
+  expect(world.state.read('format')?.value).toMatchObject({ format: 2, wide: 128, tasks: 24 });
+});
+
+const claims = (from: number, count: number, machine: (task: number) => string): Record<string, Claim> =>
+  Object.fromEntries(
+    Array.from({ length: count }, (_, i) => [
+      from + i,
+      { attempt: 12, machine: machine(i), session: 12, madeAt: 1_700_000_000_000 - 100 * i },
+    ]),
+  );
+
+test('every record fits the limits to come', () => {
+  const settings = testSettings(0, 0, { next: { value_kb: 2, txn_ops: 6, write_rps: 18 } });
+  const layout = lastingLayout(settings, formatRecord(settings, null));
+  expect(layout).toMatchObject({ width: 64, tasks: 64, txnOps: 6, valueBytes: 2048 });
+  const bytes = (value: unknown): number => Buffer.byteLength(JSON.stringify(value));
+  // The worst: each task of a late chunk on a machine of its own, often tried.
+  const worst = claims(99_900, layout.tasks, (i) => `vm-${String(100_000 + i)}`);
+  const of = { team: 'plantao-partitura', cpus: 2.5, gpus: 0, memoryGb: 25.5 };
+  const record = { ...of, done: 'A'.repeat(12), attempts: {}, claims: worst };
+  expect(bytes(encodeSmallChunk(record))).toBeLessThan(2048);
+  expect(decodeChunk(encodeSmallChunk(record))).toEqual(record);
+  expect(decodeChunk(encodeChunk(record))).toEqual(record);
+  const machines = Array.from({ length: 170 }, (_, i) => `vm-${String(100_000 + i)}`);
+  const parts = packMachines(machines, 2048);
+  expect(parts.flat()).toEqual(machines);
+  for (const part of parts) expect(bytes({ at: 1_700_000_000_000.5, machines: part })).toBeLessThan(2048);
+  const { awaits: _, ...spec } = job('req-1', 1, 1, 1);
+  const memory = Array.from({ length: 20 }, (_, i) => ({
+    spec: { ...spec, jobClass: `class-${i}`, image: 'x'.repeat(50) },
+    peak: 12.345678901234567,
+    gap: 1234.5678901234567,
+    ratio: 1.0123456789012345,
+  }));
+  const packed = packMemory(memory, 2048).map((classes) => ({ classes }));
+  expect(packed.flatMap(decodeMemory)).toEqual(memory);
+  for (const part of packed) expect(bytes(part)).toBeLessThan(2048);
+});
+
+test('keys of chunks of either version', () => {
+  for (const name of [
+    { index: 3, width: null },
+    { index: 12, width: 64 },
+  ])
+    expect(parseChunkKey(chunkKey('req-000412', name))).toEqual({ job: 'req-000412', ...name });
+  expect(parseChunkKey('run/req-1/64.x')).toBeNull();
+  expect(parseChunkKey('run/req-1/0.00001')).toBeNull();
+});
+
+test('a width once written only shrinks, and what wide chunks hold is told by the record', () => {
+  const tight = testSettings(0, 0, TIGHT);
+  const known = formatRecord(tight, null);
+  expect(known).toEqual({ format: 2, wide: 128, tasks: 24 });
+  // Settings of later days: the small limits are the usual ones, or they have grown again.
+  const small = testSettings(0, 0, { value_kb: 1, txn_ops: 6 });
+  expect(lastingLayout(small, formatRecord(small, known))).toMatchObject({ width: 24, tasks: 24 });
+  const grown = testSettings(0);
+  expect(lastingLayout(grown, formatRecord(grown, known))).toMatchObject({ width: 24, tasks: 24 });
+  expect(firstLayout(grown)).toMatchObject({ width: null, tasks: 512 });
+  // Without limits to come, nothing changes.
+  expect(lastingLayout(grown, formatRecord(grown, null))).toMatchObject({ width: null, tasks: 512 });
+});
+
+test('limits to come: optional, each of them, and checked', () => {
+  const settings = testSettings(0);
+  const withNext = (next: unknown): unknown => ({
+    ...settings,
+    cluster: { ...settings.cluster, state: { ...settings.cluster.state, next } },
+  });
+  expect(settingsFaults(withNext(null))).toEqual([]);
+  expect(settingsFaults(withNext({}))).toEqual([]);
+  expect(settingsFaults(withNext({ txn_ops: 6, later: true }))).toEqual([]);
+  expect(settingsFaults(withNext({ txn_ops: 0 }))[0]).toMatch(/^cluster\.state\.next\.txn_ops: /);
+  expect(settingsFaults(withNext({ value_kb: '2' }))[0]).toMatch(/^cluster\.state\.next\.value_kb: /);
+  expect(() => parseSettings(withNext(7))).toThrow(/cluster\.state\.next: /);
+});
+
+const puts = (effects: readonly Effect[]): string[] =>
+  effects.flatMap((effect) =>
+    effect.kind === 'commit'
+      ? effect.txn.apply.map((write) => ('put' in write ? `put ${write.put}` : `remove ${write.remove}`))
+      : [],
+  );
+
+/** A leader with eight tasks of a large job on a machine, as production writes them. */
+function leading(): CoreBench {
+  const bench = new CoreBench(0, undefined, TIGHT);
+  bench.hear(report('m', 1));
+  bench.add(job('req-1', 60, 1, 500));
+  bench.hear(report('m', 2));
+  return bench;
+}
+
+test('the way over: a narrow chunk outranks the wide one, which goes when all it knows is held', async () => {
+  const bench = leading();
+  const settings = testSettings(0, 0, TIGHT);
+  bench.do({ kind: 'adopt', layout: lastingLayout(settings, formatRecord(settings, null)) });
+  const running = [...Array(8).keys()].map((i) => task(`req-1/${i}`, 1, 'running'));
+  // Claims stay as durable as they were: nothing is started twice, nothing written for it.
+  expect(puts(bench.hear(report('m', 3, running)))).toEqual([]);
+  const [first, ...others] = running;
+  if (first === undefined) throw new Error('no task');
+  const exit = bench.hear(report('m', 4, [{ ...first, stage: 'exited', exit: 'done' }, ...others]));
+  // The next task is put in the room; with the chunk that holds both, all of the wide one is held.
+  expect(puts(exit)).toEqual(['put run/req-1/24.00000', 'remove run/req-1/00000']);
+  await bench.keep('way-over');
+});
+
+test('after a crash on the way over, each task counts as its narrowest record says', () => {
+  const bench = new CoreBench(0, undefined, TIGHT);
+  const settings = testSettings(0, 0, TIGHT);
+  const format = formatRecord(settings, null);
+  const of = { team: 'crew', cpus: 1, gpus: 0, memoryGb: 1, attempts: {} };
+  const wide = { ...of, done: '', claims: claims(0, 30, () => 'old') };
+  const narrow = { ...of, done: Buffer.from([1]).toString('base64'), claims: claims(1, 3, () => 'new') };
+  bench.do({
+    kind: 'lead',
+    term: TERM,
+    stamp: 100,
+    provenAt: bench.now,
+    layout: lastingLayout(settings, format),
+    wide: format.wide,
+    memory: [],
+    jobs: [{ value: job('req-1', 60, 1, 50), stamp: 50 }],
+    chunks: [
+      { job: 'req-1', name: { index: 0, width: null }, record: { value: wide, stamp: 60 } },
+      { job: 'req-1', name: { index: 0, width: 24 }, record: { value: narrow, stamp: 61 } },
+    ],
+  });
+  const loaded = bench.state.jobs.get('req-1');
+  expect(loaded?.doneCount).toBe(1);
+  const on = (machine: string): number[] =>
+    [...(loaded?.claims.values() ?? [])].flatMap((claim) => (claim.machine === machine ? [claim.task] : []));
+  expect(on('new')).toEqual([1, 2, 3]);
+  expect(on('old')).toEqual([24, 25, 26, 27, 28, 29]);
+});
+
+// A transaction that the state service will never take was sent again at every tick.
+test('what is refused for its size is split, then left for a while, and never sent for ever', () => {
+  const bench = new CoreBench();
+  bench.hear(report('m', 1));
+  let sent = 0;
+  let effects = bench.raw({ kind: 'jobAdded', job: { value: job('req-1', 8, 1, 50), stamp: 101 } });
+  for (let ms = 0; ms < 60_000; ms += 250) {
+    const commit = effects.find((effect) => effect.kind === 'commit');
+    if (commit?.kind === 'commit') {
+      sent += 1;
+      bench.raw({ kind: 'committed', id: commit.id, outcome: { kind: 'rejected' } });
+    }
+    bench.now += 250;
+    effects = bench.raw({ kind: 'tick' });
+  }
+  expect(sent).toBeGreaterThan(3);
+  expect(sent).toBeLessThan(15);
+  expect(bench.state.leadership).not.toBeNull();
+});
