Room is kept free for hurried classes, on the machines with most images

Cause: starts of rush classes were late by an image fetch. The room that the plan rents ahead for such classes was free to anybody.

--- a/src/core/capacity.ts
+++ b/src/core/capacity.ts
@@ -1,5 +1,5 @@
 /** Renting and giving back: how much, of what kind, and when. */
-import { expectedEnd, onlyType } from './easy.js';
+import { ARRIVALS_OVER, expectedEnd, onlyType } from './easy.js';
 import type { Effect } from './effects.js';
 import { waitingTasks } from './ledger.js';
 import { log } from './log.js';
@@ -15,8 +15,6 @@
 const MOST_PLANNED = 2000;
 /** A machine is paid for at least so long, says the cloud's price list. */
 const LEAST_PAID_MS = 60_000;
-/** So many usual gaps without an arrival mean that a class has ended for now. */
-const ARRIVALS_OVER = 8;
 /** How much dearer a type seems to jobs with a choice while others can use nothing else. */
 const SCARCE_FACTOR = 4;
 
--- a/src/core/easy.ts
+++ b/src/core/easy.ts
@@ -6,11 +6,13 @@
 import { isUsable } from './fleet.js';
 import { claimTask, nextTask, waitingTasks } from './ledger.js';
 import { expectedRun, isPressed, teamUse, waitingJobs } from './queue.js';
-import { allows, avoids, fetchTime, fits, freeRoom, give, take, type Need, type Room } from './room.js';
+import { allows, avoids, fetchTime, fits, freeRoom, give, sum, take, type Need, type Room } from './room.js';
 import type { CoreState, Head, JobState, LiveClaim, Machine, Now } from './state.js';
 import type { JobSpec, MachineType } from './types.js';
 
 const EPSILON = 1e-6;
+/** So many usual gaps without an arrival mean that a class has ended for now. */
+export const ARRIVALS_OVER = 8;
 /** What an ordinary machine costs a choice against a cheap one that fits as well. */
 const ORDINARY_PENALTY = 1;
 
@@ -188,6 +190,52 @@
   return only;
 }
 
+/** Tasks of a class that are out or waiting now. */
+function present(state: CoreState): Map<string, number> {
+  const counts = new Map<string, number>();
+  for (const job of state.jobs.values()) {
+    const { jobClass } = job.spec;
+    counts.set(jobClass, (counts.get(jobClass) ?? 0) + job.claims.size + waitingTasks(job));
+  }
+  return counts;
+}
+
+/** Whether a class cannot wait for a machine to boot: its tasks are to start sooner. */
+export function isHurried(state: CoreState, spec: JobSpec): boolean {
+  const within = state.rules.startWithin.get(spec.jobClass);
+  if (within === undefined) return false;
+  for (const type of state.types.values()) if (fits(spec, type) && within > type.bootS * 1000) return false;
+  return true;
+}
+
+/**
+ * Takes room off the sites for tasks of hurried classes that are likely to come: up to the most
+ * that were there at once of late. It is kept on machines with many images, always the same
+ * ones as far as can be, for elsewhere each image would have to be fetched first.
+ */
+function keepRoom(state: CoreState, sites: readonly Site[], now: Now): Map<Site, Room> {
+  const kept = new Map<Site, Room>();
+  const hurried = [...state.demand.values()].filter(({ spec }) => isHurried(state, spec));
+  if (hurried.length === 0) return kept;
+  const counts = present(state);
+  const rich = [...sites].sort((a, b) => b.machine.images.size - a.machine.images.size);
+  for (const { spec, peak, arrivedAt, gap } of hurried) {
+    if (now.mono - arrivedAt > ARRIVALS_OVER * gap) continue;
+    let missing = Math.ceil(peak) - (counts.get(spec.jobClass) ?? 0);
+    for (const site of rich) {
+      if (missing <= 0) break;
+      if (!allows(spec, site.machine.type, site.machine.zone, site.machine.spot)) continue;
+      for (; missing > 0 && fits(spec, site.free); missing -= 1) {
+        take(site.free, spec);
+        const room = kept.get(site) ?? { cpus: 0, gpus: 0, memoryGb: 0 };
+        give(room, spec);
+        kept.set(site, room);
+      }
+    }
+  }
+  return kept;
+}
+
 interface Pass {
   readonly state: CoreState;
   readonly now: Now;
@@ -195,6 +243,8 @@
   readonly largest: number;
   /** Room held for the head of the queue. */
   head: Map<Site, Hold>;
+  /** Room kept for hurried tasks to come, already taken off the sites. */
+  readonly kept: ReadonlyMap<Site, Room>;
   /** Room held for jobs that only one type can take, against jobs with a choice. */
   readonly scarce: Map<Site, Hold>;
   /** The lowest priority among jobs that room is so held for. */
@@ -228,10 +278,16 @@
   const choosy = yields(pass, job);
   const startBy = startTime(state, job, now);
   const canStartInTime = startBy > now.mono;
+  const usesKept = pass.kept.size > 0 && (isHurried(state, spec) || isPressed(state, job, now));
   let best: { site: Site; end: number; score: number } | null = null;
   for (const site of pass.sites) {
     const { machine, type, free } = site;
-    if (!fits(spec, free) || !allows(spec, machine.type, machine.zone, machine.spot) || !open(machine.zone)) {
+    const spare = usesKept ? pass.kept.get(site) : undefined;
+    if (
+      !fits(spec, spare === undefined ? free : sum(free, spare)) ||
+      !allows(spec, machine.type, machine.zone, machine.spot) ||
+      !open(machine.zone)
+    ) {
       continue;
     }
     if (avoids(job, machine.name)) continue;
@@ -345,7 +401,8 @@
   const queue = waitingJobs(state, now);
   const scarceJobs = scarceTypes(state, queue);
   const scarcePriority = Math.min(...[...scarceJobs.values()].map((job) => job.priority));
-  const pass: Pass = { state, now, sites, largest, head: new Map(), scarce: new Map(), scarcePriority };
+  const kept = keepRoom(state, sites, now);
+  const pass: Pass = { state, now, sites, largest, kept, head: new Map(), scarce: new Map(), scarcePriority };
   for (const [type, job] of scarceJobs) {
     for (const site of sites) {
       if (site.machine.type !== type) continue;
--- a/src/core/room.ts
+++ b/src/core/room.ts
@@ -32,6 +32,12 @@
   room.memoryGb += need.memoryGb;
 }
 
+export const sum = (a: Need, b: Need): Room => ({
+  cpus: a.cpus + b.cpus,
+  gpus: a.gpus + b.gpus,
+  memoryGb: a.memoryGb + b.memoryGb,
+});
+
 /** A copy of just the amounts, whatever else the object holds. */
 export const roomOf = ({ cpus, gpus, memoryGb }: Need): Room => ({ cpus, gpus, memoryGb });
 
--- a/test/easy.test.ts
+++ b/test/easy.test.ts
@@ -202,3 +202,31 @@
     'req-3',
   ]);
 });
+
+// With the fleet full, freed room went to whoever waited, on whichever machine: a rush task got
+// its turn soon, but on a machine without its image, and was late by the fetch.
+test('room is kept for hurried classes, on the machines with most images', () => {
+  const bench = new CoreBench();
+  (bench.state.rules.startWithin as Map<string, number>).set('rush', 3000);
+  const rush = job('req-9', 1, 2, 20, { jobClass: 'rush', priority: 1 });
+  bench.state.demand.set('rush', {
+    spec: rush,
+    peak: 2,
+    arrivals: [],
+    at: bench.now,
+    arrivedAt: bench.now,
+    gap: 60_000,
+  });
+  bench.hear(report('m', 1));
+  bench.hear(report('n', 1));
+  bench.state.machines.get('n')?.images.set('img', 1);
+  bench.add(job('req-1', 8, 2, 50));
+  const onM = CoreBench.starts(bench.hear(report('m', 2)));
+  const onN = CoreBench.starts(bench.hear(report('n', 2)));
+  expect([onM.length, onN.length]).toEqual([4, 2]);
+  // Those that it is kept for use it, and nobody keeps any once they are there.
+  bench.add(job('req-2', 2, 2, 20, { jobClass: 'rush', priority: 1, submittedAt: bench.now }));
+  expect(
+    CoreBench.starts(bench.hear(report('n', 3))).filter((name) => name.startsWith('req-2')),
+  ).toHaveLength(2);
+});
