--- a/src/core/capacity.ts
+++ b/src/core/capacity.ts
@@ -1,5 +1,5 @@
 /** Renting and giving back: how much, of what kind, and when. */
-import { ARRIVALS_OVER, expectedEnd, onlyType } from './easy.js';
+import { ARRIVALS_OVER, expectedEnd, onlyType, scarceClasses } from './easy.js';
 import type { Effect } from './effects.js';
 import { waitingTasks } from './ledger.js';
 import { log } from './log.js';
@@ -395,13 +395,7 @@
   if (lead === null || state.types.size === 0) return;
   noteDemand(state, now);
   const queue = waitingJobs(state, now);
-  const scarce = new Set<string>();
-  if (state.types.size > 1) {
-    for (const { spec } of state.demand.values()) {
-      const only = onlyType(state, spec);
-      if (only !== null) scarce.add(only);
-    }
-  }
+  const scarce = scarceClasses(state);
   const plan: Plan = { state, now, machines: planMachines(state, now), scarce, wanted: new Map() };
   for (const job of queue) {
     const choosy = onlyType(state, job.spec) === null;
--- a/src/core/easy.ts
+++ b/src/core/easy.ts
@@ -178,6 +178,17 @@
   return scarce;
 }
 
+/** Types that some class that came of late needs for want of any other. */
+export function scarceClasses(state: CoreState): Set<string> {
+  const scarce = new Set<string>();
+  if (state.types.size < 2) return scarce;
+  for (const { spec } of state.demand.values()) {
+    const only = onlyType(state, spec);
+    if (only !== null) scarce.add(only);
+  }
+  return scarce;
+}
+
 /** The one type that can take a job's tasks, or null if several can. */
 export function onlyType(state: CoreState, spec: JobSpec): string | null {
   let only: string | null = null;
@@ -218,12 +229,16 @@
   const hurried = [...state.demand.values()].filter(({ spec }) => isHurried(state, spec));
   if (hurried.length === 0) return kept;
   const counts = present(state);
+  const only = scarceClasses(state);
   const rich = [...sites].sort((a, b) => b.machine.images.size - a.machine.images.size);
   for (const { spec, peak, arrivedAt, gap } of hurried) {
     if (now.mono - arrivedAt > ARRIVALS_OVER * gap) continue;
+    const choosy = onlyType(state, spec) === null;
     let missing = Math.ceil(peak) - (counts.get(spec.jobClass) ?? 0);
     for (const site of rich) {
       if (missing <= 0) break;
+      // What others can run on nothing else is not kept from them.
+      if (choosy && only.has(site.machine.type)) continue;
       if (!allows(spec, site.machine.type, site.machine.zone, site.machine.spot)) continue;
       for (; missing > 0 && fits(spec, site.free); missing -= 1) {
         take(site.free, spec);
--- a/test/easy.test.ts
+++ b/test/easy.test.ts
@@ -230,3 +230,16 @@
     CoreBench.starts(bench.hear(report('n', 3))).filter((name) => name.startsWith('req-2')),
   ).toHaveLength(2);
 });
+
+test('room for those with a choice is not kept on a type that others can run on nothing else', () => {
+  // Large machines stood half empty for small rush tasks while large jobs waited.
+  const large = { ...EIGHT, name: 'large', cpus: 64, memoryGb: 256 };
+  const bench = new CoreBench(0, [EIGHT, large]);
+  (bench.state.rules.startWithin as Map<string, number>).set('rush', 3000);
+  const came = { peak: 4, arrivals: [], at: bench.now, arrivedAt: bench.now, gap: 60_000 };
+  bench.state.demand.set('rush', { ...came, spec: job('req-9', 1, 2, 20, { jobClass: 'rush' }) });
+  bench.state.demand.set('mix', { ...came, spec: job('req-8', 1, 32, 20, { jobClass: 'mix' }) });
+  bench.hear(report('m', 1, [], { type: 'large' }));
+  bench.add(job('req-1', 2, 32, 50, { jobClass: 'mix' }));
+  expect(CoreBench.starts(bench.hear(report('m', 2, [], { type: 'large' })))).toHaveLength(2);
+});
