--- a/src/core/easy.ts
+++ b/src/core/easy.ts
@@ -16,6 +16,9 @@
 /** What an ordinary machine costs a choice against a cheap one that fits as well. */
 const ORDINARY_PENALTY = 1;
 
+/** While no more machines can be had, room is kept for this share of the most tasks at once of late. */
+const KEPT_WHEN_SHORT = 0.6;
+
 /** What it costs a choice to keep a machine busy for the whole of a run more. */
 const LONGER_PENALTY = 0.5;
 
@@ -230,11 +233,14 @@
   if (hurried.length === 0) return kept;
   const counts = present(state);
   const only = scarceClasses(state);
+  // Others wait for the same room then, and many of them will be late.
+  const short = [...state.refusedUntil.values()].some((until) => until > now.mono);
+  const share = short ? KEPT_WHEN_SHORT : 1;
   const rich = [...sites].sort((a, b) => b.machine.images.size - a.machine.images.size);
   for (const { spec, peak, arrivedAt, gap } of hurried) {
     if (now.mono - arrivedAt > ARRIVALS_OVER * gap) continue;
     const choosy = onlyType(state, spec) === null;
-    let missing = Math.ceil(peak) - (counts.get(spec.jobClass) ?? 0);
+    let missing = Math.ceil(share * peak) - (counts.get(spec.jobClass) ?? 0);
     for (const site of rich) {
       if (missing <= 0) break;
       // What others can run on nothing else is not kept from them.
