--- a/src/core/capacity.ts
+++ b/src/core/capacity.ts
@@ -6,7 +6,7 @@
 import { isReady } from './pipelines.js';
 import { aimsLost, expectedRun, hasDeadline, timeLeft, waitingJobs } from './queue.js';
 import { allows, avoids, fits, freeRoom, give, roomOf, take, type Need, type Room } from './room.js';
-import type { CoreState, Demand, JobState, Machine, Now } from './state.js';
+import { isExitKept, type CoreState, type Demand, type JobState, type Machine, type Now } from './state.js';
 import type { JobSpec, MachineType } from './types.js';
 import { MEMORY_KEY, memoryKey, packMemory, TERM_KEY, type ClassMemory } from '../wire/records.js';
 
@@ -469,7 +469,9 @@
     ) {
       const hold = state.rules.policy.idleHold(type, machine.spot);
       const paid = now.mono - machine.rentedAt >= LEAST_PAID_MS;
-      if (paid && now.mono - machine.idleSince > hold) machine.leaving = 'idle';
+      // What it completed would run again, were it gone before that is written and this leader with it.
+      const kept = [...machine.exits.values()].every(isExitKept);
+      if (paid && kept && now.mono - machine.idleSince > hold) machine.leaving = 'idle';
     }
     if (machine.leaving === null) continue;
     const asked = machine.returnAskedAt;
--- a/test/guards.test.ts
+++ b/test/guards.test.ts
@@ -393,3 +393,32 @@
     .flatMap((effect) => (effect.kind === 'direct' ? [effect.machine] : []));
   expect(raised).toEqual(['listed']);
 });
+
+// A recorded day: given back 2 s before a hand-over, with four exits that were not written yet.
+test('a machine goes back idle only once what it completed is written', () => {
+  const bench = runningOn();
+  bench.now += 100_000;
+  bench.do({ kind: 'proof', sentAt: bench.now });
+  const exited = report('m', 4, [task('req-1/0', 1, 'exited', 'done')]);
+  const commit = commitOf(bench.raw({ kind: 'report', reply: 1, report: exited }));
+  bench.hear(report('n', 2));
+  const returns = (effects: readonly Effect[]): string[] =>
+    effects.flatMap((effect) => (effect.kind === 'return' ? effect.machines : []));
+  const later = (): string[] => {
+    const gone: string[] = [];
+    for (let i = 0; i < 40; i += 1) {
+      bench.now += 1000;
+      bench.raw({ kind: 'proof', sentAt: bench.now });
+      bench.raw({
+        kind: 'report',
+        reply: 2 + i,
+        report: { ...exited, seq: bench.now },
+      });
+      gone.push(...returns(bench.raw({ kind: 'tick' })));
+    }
+    return gone;
+  };
+  expect(later()).not.toContain('m');
+  bench.raw({ kind: 'committed', id: commit.id, outcome: { kind: 'applied', revision: 500 } });
+  expect(later()).toContain('m');
+});
