--- /dev/null
+++ b/bench/run.mjs
@@ -0,0 +1,78 @@
+// Times the core at several sizes, a version before beside today's sources:
+//   node bench/run.mjs [--against COMMIT] [--sizes 160,600,2000,6000] [--rounds 1]
+// Processor time of this machine; compare the ratios, not the figures.
+import { execFileSync } from 'node:child_process';
+import { existsSync, mkdirSync, writeFileSync } from 'node:fs';
+import { join, resolve } from 'node:path';
+import { parseArgs } from 'node:util';
+import { build } from 'esbuild';
+
+const { values } = parseArgs({
+  options: {
+    against: { type: 'string' },
+    sizes: { type: 'string', default: '160,600,2000,6000' },
+    profile: { type: 'boolean', default: false },
+  },
+});
+
+/** Bundles the benchmark with the core that lies in `source`. */
+async function bundle(name, source) {
+  const at = (...paths) =>
+    resolve(
+      source,
+      paths.find((path) => existsSync(join(source, path))),
+    );
+  const version = join('target', 'bench', `${name}.version.ts`);
+  mkdirSync('target/bench', { recursive: true });
+  const from = JSON.stringify;
+  writeFileSync(
+    version,
+    `import { createState } from ${from(at('core/state.ts'))};
+     import { step } from ${from(at('core/step.ts'))};
+     import { rulesFor } from ${from(at('rules.ts', 'node.ts'))};
+     import { createPolicy } from ${from(at('policy.ts'))};
+     import { parseSettings } from ${from(at('settings.ts'))};
+     export * as records from ${from(at('core/records.ts', 'wire/records.ts'))};
+     export const core = { createState, step, rules: (raw) => {
+       const settings = parseSettings(raw); return rulesFor(settings, createPolicy(settings)); } };`,
+  );
+  const outfile = join('target', 'bench', `${name}.cjs`);
+  await build({
+    entryPoints: ['bench/fleet.ts'],
+    outfile,
+    bundle: true,
+    platform: 'node',
+    format: 'cjs',
+    target: 'node20',
+    alias: { '#version': resolve(version) },
+    nodePaths: [resolve('node_modules')],
+  });
+  return outfile;
+}
+
+const versions = [];
+if (values.against !== undefined) {
+  const folder = resolve('target', 'bench', 'before');
+  mkdirSync(folder, { recursive: true });
+  const archive = execFileSync('git', ['archive', values.against, 'src'], { maxBuffer: 1 << 28 });
+  execFileSync('tar', ['-x', '-C', folder], { input: archive });
+  versions.push(['before', await bundle('before', join(folder, 'src'))]);
+}
+versions.push(['now', await bundle('now', resolve('src'))]);
+
+console.log(
+  '| machines | phase | version | placed | ms a report | ms a placed task | ms a tick | worst ms | share of a core |',
+);
+console.log('| --- | --- | --- | --- | --- | --- | --- | --- | --- |');
+for (const size of values.sizes.split(',')) {
+  for (const [name, file] of versions) {
+    const flags = values.profile ? ['--cpu-prof', '--cpu-prof-dir=target/bench'] : [];
+    const out = execFileSync('node', [...flags, file, size], { encoding: 'utf8', maxBuffer: 1 << 26 });
+    for (const row of JSON.parse(out.trim().split('\n').at(-1))) {
+      const cells = [row.msPerReport, row.msPerPlaced, row.msPerTick, row.worstMs].map((ms) => ms.toFixed(2));
+      console.log(
+        `| ${size} | ${row.phase} | ${name} | ${row.placed} | ${cells.join(' | ')} | ${row.share.toFixed(2)} |`,
+      );
+    }
+  }
+}
--- /dev/null
+++ b/bench/version.ts
@@ -0,0 +1,55 @@
+/** What the benchmark needs of a version of the core, whichever it is. */
+export type State = { layout: unknown; wide: number; jobs: Map<string, unknown> };
+export interface Spec {
+  readonly id: string;
+  readonly image: string;
+  readonly imageGb: number;
+  readonly estimateS: number;
+}
+export interface Reported {
+  readonly job: string;
+  readonly task: number;
+  readonly attempt: number;
+  readonly stage: string;
+  readonly exit: string | null;
+}
+export type Listed = object;
+interface Write {
+  readonly put?: string;
+  readonly value?: unknown;
+  readonly remove?: string;
+}
+interface WorkerCommand {
+  readonly op: string;
+  readonly job: string;
+  readonly task: number;
+  readonly attempt: number;
+}
+export type Effect =
+  | {
+      readonly kind: 'reply';
+      readonly reply: number;
+      readonly body:
+        | { readonly kind: 'commands'; readonly commands: readonly WorkerCommand[] }
+        | { readonly kind: 'unable' };
+    }
+  | {
+      readonly kind: 'commit';
+      readonly id: number;
+      readonly txn: {
+        readonly when: readonly { readonly key: string; readonly stamp: number }[];
+        readonly apply: readonly Write[];
+      };
+    }
+  | { readonly kind: 'rent'; readonly request: string; readonly zone: string; readonly count: number }
+  | { readonly kind: 'return'; readonly machines: readonly string[] }
+  | { readonly kind: 'other' };
+export interface Core {
+  createState(node: string, rules: unknown): State;
+  step(state: State, commands: readonly unknown[], now: { mono: number; wall: number }): Effect[];
+  rules(settings: unknown): unknown;
+}
+export interface Records {
+  parseChunkKey(key: string): { readonly job: string } | null;
+  decodeChunk(value: unknown): unknown;
+}
--- /dev/null
+++ b/bench/world.ts
@@ -0,0 +1,478 @@
+/**
+ * A leader's core at size, without a network: machines that report, users that submit, a state
+ * service that applies, a cloud that rents. Virtual time; what is measured is the processor time of
+ * `step` alone, by what a batch was for.
+ */
+import { unsafeUniformIntDistribution, xoroshiro128plus } from 'pure-rand';
+import type { Core, Effect, Listed, Records, Reported, Spec, State } from './version.js';
+
+const REPORT_MS = 2500;
+const LEASE_MS = 15_250;
+const BOOT_MS = 35_000;
+const COMMIT_MS = 5;
+const BATCH_MS = 5;
+const TERM_STAMP = 1;
+
+interface Shape {
+  readonly jobClass: string;
+  readonly priority: 1 | 2;
+  readonly tasks: number;
+  readonly cpus: number;
+  readonly memoryGb: number;
+  readonly runS: number;
+  readonly images: number;
+  readonly imageGb: number;
+  readonly deadline: (estimateS: number) => number;
+  /** Jobs a second, and at the start, of a fleet of 600. */
+  readonly rate: number;
+  readonly first: number;
+}
+
+const SHAPES: readonly Shape[] = [
+  {
+    jobClass: 'parts',
+    priority: 2,
+    tasks: 35,
+    cpus: 8,
+    memoryGb: 25,
+    runS: 50,
+    images: 8,
+    imageGb: 1.8,
+    deadline: (estimateS) => 2 * estimateS + 40,
+    rate: 0.49,
+    first: 54,
+  },
+  {
+    jobClass: 'rush',
+    priority: 1,
+    tasks: 12,
+    cpus: 2,
+    memoryGb: 3.8,
+    runS: 25,
+    images: 12,
+    imageGb: 1.2,
+    deadline: (estimateS) => 2 * estimateS + 10,
+    rate: 1.94,
+    first: 94,
+  },
+];
+
+export const settings = {
+  host_name: 'n-0',
+  zone: 'a',
+  public_addr: '127.0.0.1:7000',
+  peer_bind: '127.0.0.1:7100',
+  others: [],
+  endpoints: { cloud: '127.0.0.1:7200', state: '127.0.0.1:7300' },
+  cluster: {
+    count: 1,
+    zones: ['a', 'b'],
+    teams: [{ name: 'crew', cpus: 0, cpus_max: 0, gpus: 0, gpus_max: 0 }],
+    objectives: [
+      { kind: 'deadline', class: 'parts', share: 0.98, times: 1 },
+      { kind: 'deadline', class: 'parts', share: 0.992, times: 1.5 },
+      { kind: 'deadline', class: 'rush', share: 0.998, times: 1 },
+      { kind: 'deadline', class: 'rush', share: 0.998, times: 1.5 },
+      { kind: 'wait', class: 'rush', share: 0.88, within_s: 3 },
+    ],
+    workers: { report_s: REPORT_MS / 1000, lease_s: LEASE_MS / 1000, cancel_s: 35.25 },
+    state: { rps: 900, write_rps: 150, value_kb: 32, txn_ops: 32 },
+    cloud: { rps: 8, list_lag_s: 10 },
+    quota: { cpu: 0.612, ram_mb: 410, sockets: 1799 },
+    clock_error_ms: 100,
+  },
+};
+
+interface Task {
+  readonly job: string;
+  readonly task: number;
+  readonly attempt: number;
+  stage: 'fetching' | 'running' | 'exited';
+  at: number;
+}
+
+interface Machine {
+  readonly name: string;
+  readonly zone: string;
+  dead: boolean;
+  seq: number;
+  token: number;
+  readonly tasks: Map<string, Task>;
+  readonly images: Set<string>;
+  nextReport: number;
+  waiting: boolean;
+}
+
+/** Processor time by what a batch did, in milliseconds, and how often. */
+export interface Cost {
+  ms: number;
+  count: number;
+}
+
+export class FleetWorld {
+  now = 1_000_000;
+  readonly state: State;
+  readonly machines = new Map<string, Machine>();
+  readonly #draw: () => number;
+  readonly #events = new Map<number, (() => void)[]>();
+  readonly #store = new Map<string, { value: unknown; stamp: number }>();
+  readonly #jobs = new Map<string, Spec>();
+  #revision = TERM_STAMP;
+  #term = 1;
+  #pending: unknown[] = [];
+  #replies = new Map<number, Machine>();
+  #nextReply = 1;
+  #nextJob = 1;
+  #nextMachine = 1;
+  #surge = 1;
+  readonly cost = new Map<string, Cost>();
+  placed = 0;
+  worst = 0;
+
+  constructor(
+    private readonly core: Core,
+    private readonly records: Records,
+    private readonly fleet: number,
+  ) {
+    const generator = xoroshiro128plus(11);
+    this.#draw = () => unsafeUniformIntDistribution(0, 0x3fffffff, generator) / 0x40000000;
+    this.state = core.createState('n-0', core.rules(settings));
+    const types = [
+      {
+        name: 'bench-32',
+        cpus: 32,
+        gpus: 0,
+        memoryGb: 128,
+        cacheGb: 50,
+        fetchGbPerS: 0.5,
+        price: 1.73,
+        spotPrice: 0.63,
+        bootS: BOOT_MS / 1000,
+        zones: ['a', 'b'],
+      },
+    ];
+    core.step(this.state, [{ kind: 'catalog', types }], this.#time());
+    this.#lead();
+    this.#tick();
+    this.#arrivals();
+  }
+
+  #time(): { mono: number; wall: number } {
+    return { mono: this.now, wall: this.now };
+  }
+
+  #at(ms: number, call: () => void): void {
+    const slot = Math.max(1, Math.ceil((ms - this.now) / BATCH_MS));
+    const at = this.now + slot * BATCH_MS;
+    const list = this.#events.get(at);
+    if (list === undefined) this.#events.set(at, [call]);
+    else list.push(call);
+  }
+
+  /** What the state service holds, given to a leader that begins. */
+  #lead(): void {
+    const jobs: unknown[] = [];
+    const chunks: unknown[] = [];
+    for (const [key, { value, stamp }] of this.#store) {
+      if (key.startsWith('job/')) jobs.push({ value, stamp });
+      const name = this.records.parseChunkKey(key);
+      const record = name === null ? null : this.records.decodeChunk(value);
+      if (name !== null && record !== null)
+        chunks.push({ job: name.job, name, record: { value: record, stamp } });
+    }
+    const { layout, wide } = this.state;
+    this.#pending.push({
+      kind: 'lead',
+      term: this.#term,
+      stamp: TERM_STAMP,
+      provenAt: this.now,
+      layout,
+      wide,
+      jobs,
+      chunks,
+      memory: [],
+    });
+  }
+
+  #tick(): void {
+    this.#pending.push({ kind: 'tick' });
+    this.#pending.push({ kind: 'proof', sentAt: this.now });
+    this.#at(this.now + REPORT_MS / 4, () => this.#tick());
+  }
+
+  #arrivals(): void {
+    for (const shape of SHAPES) {
+      const scale = this.fleet / 600;
+      for (let i = 0; i < shape.first * scale; i += 1) this.#submit(shape);
+      const next = (): void => {
+        this.#submit(shape);
+        this.#at(this.now + (-Math.log(1 - this.#draw()) * 1000) / (shape.rate * scale * this.#surge), next);
+      };
+      this.#at(this.now + 1000, next);
+    }
+  }
+
+  surge(factor: number): void {
+    this.#surge = factor;
+  }
+
+  #submit(shape: Shape): void {
+    const id = `req-${String(this.#nextJob++).padStart(6, '0')}`;
+    const estimateS = shape.runS * (0.6 + 0.8 * this.#draw());
+    const spec = {
+      id,
+      jobClass: shape.jobClass,
+      team: 'crew',
+      form: 'array',
+      priority: shape.priority,
+      tasks: Math.max(1, Math.round(shape.tasks * (0.4 + 1.2 * this.#draw()))),
+      cpus: shape.cpus,
+      gpus: 0,
+      memoryGb: shape.memoryGb,
+      image: `${shape.jobClass}-${Math.floor(shape.images * this.#draw() ** 2)}`,
+      imageGb: shape.imageGb,
+      types: null,
+      zone: null,
+      oneZone: false,
+      spread: false,
+      spot: true,
+      estimateS,
+      checkpointS: 0,
+      saveS: 0,
+      deadlineS: shape.deadline(estimateS),
+      submittedAt: this.now,
+    } as Spec;
+    this.#jobs.set(id, spec);
+    this.#revision += 1;
+    this.#store.set(`job/${id}`, { value: spec, stamp: this.#revision });
+    this.#pending.push({ kind: 'jobAdded', job: { value: spec, stamp: this.#revision } });
+  }
+
+  #boot(name: string, zone: string): void {
+    const machine: Machine = {
+      name,
+      zone,
+      dead: false,
+      seq: 0,
+      token: 0,
+      tasks: new Map(),
+      images: new Set(),
+      nextReport: 0,
+      waiting: false,
+    };
+    this.machines.set(name, machine);
+    this.#report(machine);
+  }
+
+  #plan(machine: Machine, at: number): void {
+    if (machine.nextReport > this.now && machine.nextReport <= at) return;
+    machine.nextReport = at;
+    this.#at(at, () => {
+      if (machine.nextReport <= this.now && machine.nextReport > 0) this.#report(machine);
+    });
+  }
+
+  #report(machine: Machine): void {
+    if (machine.dead || machine.waiting) return;
+    machine.nextReport = 0;
+    machine.waiting = true;
+    machine.seq += 1;
+    const reply = this.#nextReply++;
+    this.#replies.set(reply, machine);
+    const tasks: Reported[] = [...machine.tasks.values()].map(({ job, task, attempt, stage }) => ({
+      job,
+      task,
+      attempt,
+      stage,
+      exit: stage === 'exited' ? 'done' : null,
+    }));
+    const { name, zone, seq, token } = machine;
+    const report = {
+      machine: name,
+      address: '127.0.0.1:1',
+      type: 'bench-32',
+      zone,
+      spot: true,
+      session: 1,
+      seq,
+      token,
+      noticeS: null,
+      tasks,
+    };
+    this.#pending.push({ kind: 'report', reply, report });
+  }
+
+  #changed(machine: Machine): void {
+    this.#plan(machine, this.now + 500);
+  }
+
+  #answer(
+    reply: number,
+    commands: readonly { op: string; job: string; task: number; attempt: number }[],
+  ): void {
+    const machine = this.#replies.get(reply);
+    this.#replies.delete(reply);
+    if (machine === undefined || machine.dead) return;
+    machine.waiting = false;
+    const raised = machine.token < this.#term;
+    machine.token = this.#term;
+    for (const { op, job, task, attempt } of commands) {
+      const key = `${job}/${task}`;
+      if (op === 'start') this.#start(machine, job, task, attempt);
+      else if (op === 'forget') machine.tasks.delete(key);
+      else machine.tasks.delete(key);
+    }
+    if (raised || commands.length > 0) this.#changed(machine);
+    else this.#plan(machine, this.now + REPORT_MS * (0.75 + 0.5 * this.#draw()));
+  }
+
+  #start(machine: Machine, job: string, task: number, attempt: number): void {
+    const spec = this.#jobs.get(job);
+    if (spec === undefined) return;
+    this.placed += 1;
+    const running: Task = { job, task, attempt, stage: 'fetching', at: this.now };
+    machine.tasks.set(`${job}/${task}`, running);
+    const fetchMs = machine.images.has(spec.image) ? 0 : (spec.imageGb / 0.5) * 1000;
+    this.#at(this.now + fetchMs, () => {
+      machine.images.add(spec.image);
+      running.stage = 'running';
+      this.#changed(machine);
+      this.#at(this.now + spec.estimateS * 1000 * (0.7 + 0.6 * this.#draw()), () => {
+        running.stage = 'exited';
+        this.#changed(machine);
+      });
+    });
+  }
+
+  #carryOut(effect: Effect): void {
+    switch (effect.kind) {
+      case 'reply':
+        if (effect.body.kind === 'commands') this.#answer(effect.reply, effect.body.commands);
+        else {
+          const machine = this.#replies.get(effect.reply);
+          this.#replies.delete(effect.reply);
+          if (machine !== undefined) {
+            machine.waiting = false;
+            this.#plan(machine, this.now + 1000);
+          }
+        }
+        break;
+      case 'commit': {
+        const term = this.#term;
+        this.#at(this.now + COMMIT_MS, () => {
+          // Of an earlier leader: the condition on the term fails.
+          if (term !== this.#term) return;
+          const { when, apply } = effect.txn;
+          const holds = when.every(
+            ({ key, stamp }) => key === 'term' || (this.#store.get(key)?.stamp ?? 0) === stamp,
+          );
+          if (!holds) throw new Error('a condition failed, which cannot be here');
+          this.#revision += 1;
+          for (const write of apply) {
+            if (write.put !== undefined)
+              this.#store.set(write.put, { value: write.value, stamp: this.#revision });
+            else if (write.remove !== undefined) this.#store.delete(write.remove);
+          }
+          this.#pending.push({
+            kind: 'committed',
+            id: effect.id,
+            outcome: { kind: 'applied', revision: this.#revision },
+          });
+        });
+        break;
+      }
+      case 'rent':
+        this.#at(this.now + 100, () => {
+          const free = this.fleet - this.machines.size;
+          const names = Array.from({ length: Math.min(effect.count, Math.max(0, free)) }, () => {
+            const name = `vm-${String(this.#nextMachine++).padStart(6, '0')}`;
+            this.machines.set(name, null as unknown as Machine);
+            this.#at(this.now + BOOT_MS * (0.7 + 0.6 * this.#draw()), () => this.#boot(name, effect.zone));
+            return name;
+          });
+          const outcome = names.length === 0 ? 'refused' : names;
+          this.#pending.push({ kind: 'rented', request: effect.request, outcome });
+        });
+        break;
+      case 'return':
+        this.#at(this.now + 100, () => {
+          for (const name of effect.machines) {
+            const machine = this.machines.get(name);
+            if (machine) machine.dead = true;
+            this.machines.delete(name);
+          }
+          this.#pending.push({ kind: 'returned', machines: effect.machines, ok: true });
+        });
+        break;
+      default:
+        break;
+    }
+  }
+
+  /** Runs batches for so long; what `step` cost goes by the batch's kind to `cost`. */
+  run(seconds: number): void {
+    const until = this.now + seconds * 1000;
+    while (this.now < until) {
+      this.now += BATCH_MS;
+      const due = this.#events.get(this.now);
+      if (due !== undefined) {
+        this.#events.delete(this.now);
+        for (const call of due) call();
+      }
+      if (this.#pending.length === 0) continue;
+      const batch = this.#pending;
+      this.#pending = [];
+      const reports = batch.filter((command) => (command as { kind: string }).kind === 'report').length;
+      const kind = batch.some((command) => (command as { kind: string }).kind === 'lead')
+        ? 'load'
+        : batch.some((command) => (command as { kind: string }).kind === 'tick')
+          ? 'tick'
+          : 'batch';
+      const from = performance.now();
+      const effects = this.core.step(this.state, batch, this.#time());
+      const ms = performance.now() - from;
+      this.worst = Math.max(this.worst, ms);
+      this.#charge(kind, ms, 1);
+      this.#charge('all', ms, 1);
+      this.#charge('reports', 0, reports);
+      for (const effect of effects) this.#carryOut(effect);
+    }
+  }
+
+  #charge(kind: string, ms: number, count: number): void {
+    const cost = this.cost.get(kind) ?? { ms: 0, count: 0 };
+    cost.ms += ms;
+    cost.count += count;
+    this.cost.set(kind, cost);
+  }
+
+  /** A share of the machines dies without a word. */
+  lose(share: number): void {
+    for (const machine of this.machines.values()) {
+      if (machine && this.#draw() < share) machine.dead = true;
+    }
+  }
+
+  /** The leader goes; the next loads what was committed and hears all machines anew. */
+  takeover(): void {
+    this.#term += 1;
+    this.core.step(this.state, [{ kind: 'resign', reason: 'takeover' }], this.#time());
+    this.#pending = [];
+    for (const machine of this.#replies.values()) {
+      machine.waiting = false;
+      this.#plan(machine, this.now + 1000 * this.#draw());
+    }
+    this.#replies.clear();
+    this.#lead();
+  }
+
+  listed(): Listed[] {
+    return [];
+  }
+
+  reset(): void {
+    this.cost.clear();
+    this.placed = 0;
+    this.worst = 0;
+  }
+}
--- a/src/adapters/http.ts
+++ b/src/adapters/http.ts
@@ -1,7 +1,7 @@
 /** HTTP requests over kept-open connections, each with a bound on its time. */
 import { Agent, request as send } from 'node:http';
 import type { Address } from '../settings.js';
-import { parseJson } from '../wire/json.js';
+import { parseJson } from '../core/values.js';
 
 export interface Answer {
   /** 0: no answer; the request may have been executed, or may be later. */
--- a/src/adapters/server.ts
+++ b/src/adapters/server.ts
@@ -1,7 +1,7 @@
 /** The node's public port: workers' reports on a short path, everything else by express. */
 import express, { type ErrorRequestHandler, type RequestHandler, type Response } from 'express';
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import { parseJson } from '../wire/json.js';
+import { parseJson } from '../core/values.js';
 import type { Latencies } from '../latency.js';
 import type { UserAnswer, Users } from './users.js';
 
--- a/src/adapters/state.ts
+++ b/src/adapters/state.ts
@@ -12,8 +12,8 @@
   parseValue,
   type Change,
   type Entry,
-  type Transaction,
 } from '../wire/state.js';
+import type { Transaction } from '../core/types.js';
 import { HttpClient, type Answer } from './http.js';
 import { Limiter } from './limiter.js';
 
--- a/src/adapters/users.ts
+++ b/src/adapters/users.ts
@@ -2,9 +2,8 @@
 import type { Clock } from '../clock.js';
 import { allows, fits } from '../core/room.js';
 import type { TeamLimits } from '../core/state.js';
-import type { EndedRecord, JobSpec, MachineType } from '../core/types.js';
-import { decodeEnded, decodeJob, endedKey, jobBytes, jobKey } from '../wire/records.js';
-import type { Condition, Write } from '../wire/state.js';
+import type { Condition, EndedRecord, JobSpec, MachineType, Write } from '../core/types.js';
+import { decodeEnded, decodeJob, endedKey, jobBytes, jobKey } from '../core/records.js';
 import { encodeJobView, JOB_ID, parseSubmission, type JobView } from '../wire/users.js';
 import type { StateService } from './state.js';
 
--- a/src/client.ts
+++ b/src/client.ts
@@ -1,7 +1,7 @@
 /** The thin user verbs: one request to a controller, its answer on standard output. */
 import { HttpClient, type Answer } from './adapters/http.js';
 import { parseAddress } from './settings.js';
-import { asObject } from './wire/json.js';
+import { asObject } from './core/values.js';
 
 export interface Output {
   out(line: string): void;
--- /dev/null
+++ b/src/core/aims.ts
@@ -0,0 +1,123 @@
+/**
+ * What a class is to reach, as moments in the life of a job: the latest time at which its
+ * tasks can be placed for an aim to hold still. Each aim counts by itself, any number of
+ * them; one that is lost no longer hurries a job, and the next one does in its time.
+ */
+import { expectedRun, startLatency } from './jobs.js';
+import { fits } from './room.js';
+import type { ClassAims, CoreState, JobState, Now } from './state.js';
+import type { JobSpec } from './types.js';
+
+const NONE: ClassAims = { starts: [], deadlines: [], finishes: [] };
+/** What a deadline means to a class of which no aim speaks of it. */
+const ONCE: readonly number[] = [1];
+/** A job that should be done by a time is pressed once it has so much of a run left to wait. */
+const PRESSED_RUN = 0.5;
+
+export const aimsOf = (state: CoreState, spec: JobSpec): ClassAims =>
+  state.rules.aims.get(spec.jobClass) ?? NONE;
+
+/** The strictest start aim of a class, in milliseconds from being ready; undefined: none. */
+export const strictestStart = (state: CoreState, spec: JobSpec): number | undefined =>
+  aimsOf(state, spec).starts[0];
+
+/** Whether there is a time by which a job should be done, for itself or for those that need it. */
+export const hasDeadline = (job: JobState): boolean => job.spec.deadlineS !== null || job.dueAt < Infinity;
+
+/**
+ * Milliseconds from now until the deadline, `times` its length after the submission; what
+ * those that need the job leave it counts once.
+ */
+export function timeLeft({ spec, dueAt }: JobState, times: number, now: Now): number {
+  const own = spec.deadlineS === null ? Infinity : spec.submittedAt + spec.deadlineS * 1000 * times;
+  return (times === 1 ? Math.min(own, dueAt) : own) - now.wall;
+}
+
+/** An aim of one job: how long its tasks may still wait to be placed, and when that becomes pressing. */
+interface Chance {
+  readonly left: number;
+  readonly pressing: number;
+}
+
+/** Calls back with each aim of a job. */
+function eachChance(state: CoreState, job: JobState, now: Now, call: (chance: Chance) => void): void {
+  const { starts, deadlines, finishes } = aimsOf(state, job.spec);
+  const latency = startLatency(state);
+  const age = now.wall - job.readyAt;
+  for (const within of starts) {
+    const by = within - Math.min(latency, within / 2);
+    call({ left: by - age, pressing: by / 2 });
+  }
+  if (finishes.length === 0 && !hasDeadline(job)) return;
+  const run = expectedRun(state, job.spec);
+  const needs = run + latency;
+  for (const within of finishes) call({ left: within - age - needs, pressing: PRESSED_RUN * run });
+  if (!hasDeadline(job)) return;
+  for (const times of deadlines.length > 0 ? deadlines : ONCE)
+    call({ left: timeLeft(job, times, now) - needs, pressing: PRESSED_RUN * run });
+}
+
+/** How many of its aims a job can no longer meet. */
+export function aimsLost(state: CoreState, job: JobState, now: Now): { lost: number; all: number } {
+  let lost = 0;
+  let all = 0;
+  eachChance(state, job, now, ({ left }) => {
+    all += 1;
+    if (left < 0) lost += 1;
+  });
+  return { lost, all };
+}
+
+/** Whether a job still can, but soon no longer will, meet one of its aims. */
+export function isPressed(state: CoreState, job: JobState, now: Now): boolean {
+  let pressed = false;
+  eachChance(state, job, now, ({ left, pressing }) => {
+    pressed ||= left >= 0 && left < pressing;
+  });
+  return pressed;
+}
+
+/** Whether a class cannot wait for a machine to boot: its tasks are to start sooner. */
+export function isHurried(state: CoreState, spec: JobSpec): boolean {
+  const within = strictestStart(state, spec);
+  if (within === undefined) return false;
+  for (const type of state.types.values()) if (fits(spec, type) && within > type.bootS * 1000) return false;
+  return true;
+}
+
+/** Steady time by which a job's tasks are to start for the next start aim that is not lost; Infinity: none. */
+export function startBy(state: CoreState, job: JobState, now: Now): number {
+  const age = now.wall - job.readyAt;
+  for (const within of aimsOf(state, job.spec).starts) if (within > age) return now.mono - age + within;
+  return Infinity;
+}
+
+/** The part of the time until an end that a job may wait, its run taken off, with slack to spare. */
+function shareOf(state: CoreState, spec: JobSpec, until: number): number {
+  return (until - expectedRun(state, spec)) * state.rules.policy.deadlineSlack(spec);
+}
+
+/** How long after being ready a job's task may start for all of its aims to hold, with slack to spare. */
+export function allowedWait(state: CoreState, spec: JobSpec): number {
+  const { starts, finishes } = aimsOf(state, spec);
+  let wait = starts[0] ?? Infinity;
+  if (finishes[0] !== undefined) wait = Math.min(wait, shareOf(state, spec, finishes[0]));
+  if (spec.deadlineS !== null) return Math.min(wait, shareOf(state, spec, spec.deadlineS * 1000));
+  return Math.min(wait, expectedRun(state, spec));
+}
+
+/** The latest start, on the steady clock, that a job's aims still allow. */
+export function latestStart(state: CoreState, job: JobState, now: Now): number {
+  const { spec } = job;
+  const { lost, all } = aimsLost(state, job, now);
+  const left = timeLeft(job, 1, now);
+  // Late whatever is rented now: no hurry that dear machines would be worth.
+  if (spec.deadlineS !== null && lost >= all) {
+    return now.mono + Math.max(0, spec.deadlineS * 1000 + Math.min(0, left));
+  }
+  const own = now.mono - (now.wall - job.readyAt) + allowedWait(state, spec);
+  if (!hasDeadline(job) || spec.deadlineS !== null) return own;
+  // Others need it: half of what is left beyond its own run is theirs.
+  const slack = state.rules.policy.deadlineSlack(spec) * (left - expectedRun(state, spec));
+  return now.mono + Math.max(0, Math.min(slack, own - now.mono));
+}
--- a/src/core/capacity.ts
+++ b/src/core/capacity.ts
@@ -1,14 +1,17 @@
 /** Renting and giving back: how much, of what kind, and when. */
-import { ARRIVALS_OVER, expectedEnd, onlyType, scarceClasses } from './easy.js';
+import TinyQueue from 'tinyqueue';
+import { allowedWait, latestStart } from './aims.js';
+import { expectedEnd } from './easy.js';
 import type { Effect } from './effects.js';
-import { waitingTasks } from './ledger.js';
+import { expectedRun, isReady, waitingTasks } from './jobs.js';
+import { ARRIVALS_OVER } from './keeping.js';
 import { log } from './log.js';
-import { isReady } from './pipelines.js';
-import { aimsLost, expectedRun, hasDeadline, timeLeft, waitingJobs } from './queue.js';
+import { waitingJobs } from './queue.js';
 import { allows, avoids, fits, freeRoom, give, roomOf, take, type Need, type Room } from './room.js';
+import { onlyType, scarceClasses } from './scarce.js';
 import { isExitKept, type CoreState, type Demand, type JobState, type Machine, type Now } from './state.js';
 import type { JobSpec, MachineType } from './types.js';
-import { MEMORY_KEY, memoryKey, packMemory, TERM_KEY, type ClassMemory } from '../wire/records.js';
+import { MEMORY_KEY, memoryKey, packMemory, TERM_KEY, type ClassMemory } from './records.js';
 
 const MOST_PER_RENTAL = 50;
 const MOST_RETURNED = 100;
@@ -32,6 +35,8 @@
   readonly busy: boolean;
   /** The plan puts something on it. */
   used: boolean;
+  /** Goes up with what the plan puts on it. */
+  version: number;
 }
 
 interface Kind {
@@ -65,6 +70,7 @@
   const at = planned.ends.findIndex((end) => end.at > until);
   planned.ends.splice(at < 0 ? planned.ends.length : at, 0, { at: until, room: roomOf(need) });
   planned.used = true;
+  planned.version += 1;
 }
 
 function planMachines(state: CoreState, now: Now): Planned[] {
@@ -83,7 +89,7 @@
     ends.sort((a, b) => a.at - b.at);
     const free = freeRoom(machine, type);
     const busy = ends.length > 0;
-    planned.push({ machine: name, type, zone, spot, readyAt, free, ends, busy, used: false });
+    planned.push({ machine: name, type, zone, spot, readyAt, free, ends, busy, used: false, version: 0 });
   }
   for (const rental of state.rentals.values()) {
     const type = state.types.get(rental.type);
@@ -97,7 +103,18 @@
 
 function newMachine(type: MachineType, zone: string, spot: boolean, now: Now): Planned {
   const readyAt = now.mono + type.bootS * 1000;
-  return { machine: null, type, zone, spot, readyAt, free: roomOf(type), ends: [], busy: false, used: false };
+  return {
+    machine: null,
+    type,
+    zone,
+    spot,
+    readyAt,
+    free: roomOf(type),
+    ends: [],
+    busy: false,
+    used: false,
+    version: 0,
+  };
 }
 
 /** Kinds of machine that may be asked for now, the cheapest room first. */
@@ -127,30 +144,6 @@
   return kinds.sort((a, b) => a.price - b.price);
 }
 
-/** How long after its submission a job's task may start for its aims to hold, with slack to spare. */
-function allowedWait(state: CoreState, spec: JobSpec): number {
-  const byAim = state.rules.startWithin.get(spec.jobClass) ?? Infinity;
-  const run = expectedRun(state, spec);
-  if (spec.deadlineS === null) return Math.min(byAim, run);
-  return Math.min(byAim, (spec.deadlineS * 1000 - run) * state.rules.policy.deadlineSlack(spec));
-}
-
-/** The latest start, on the steady clock, that a job's aims still allow. */
-function latestStart(state: CoreState, job: JobState, now: Now): number {
-  const { spec } = job;
-  const { lost, all } = aimsLost(state, job, now);
-  const left = timeLeft(job, 1, now);
-  // Late whatever is rented now: no hurry that dear machines would be worth.
-  if (spec.deadlineS !== null && lost >= all) {
-    return now.mono + Math.max(0, spec.deadlineS * 1000 + Math.min(0, left));
-  }
-  const own = now.mono - (now.wall - job.readyAt) + allowedWait(state, spec);
-  if (!hasDeadline(job) || spec.deadlineS !== null) return own;
-  // Others need it: half of what is left beyond its own run is theirs.
-  const slack = state.rules.policy.deadlineSlack(spec) * (left - expectedRun(state, spec));
-  return now.mono + Math.max(0, Math.min(slack, own - now.mono));
-}
-
 /**
  * How many tasks of each class would be running now had each started as it came, and the
  * most of late. A backlog does not count: it has piled up for want of room, and room kept
@@ -233,96 +226,138 @@
   readonly machines: Planned[];
   readonly scarce: ReadonlySet<string>;
   readonly wanted: Map<string, { kind: Kind; count: number }>;
+  /** What is open to the jobs of each shape met so far. */
+  readonly open: Map<string, { readonly spec: JobSpec; readonly choosy: boolean; readonly open: Open }>;
+}
+
+interface Opening {
+  readonly index: number;
+  readonly at: number;
+  /** The machine's version when `at` was worked out. */
+  readonly version: number;
 }
 
 /**
- * Planned machines open to the tasks of one job, and the earliest start that each offers.
- * Only the machine that a task is put on has to be looked at again, so that a plan's cost
- * follows tasks plus machines, not their product with all ends.
+ * Planned machines open to tasks of one shape, by the earliest start that each offers. What
+ * is put on a machine only ever makes its starts later, so that one whose start was worked
+ * out before it changed is looked at again when it comes to the front: a plan's cost
+ * follows tasks plus machines, not their product.
  */
 export class Openings {
-  readonly #starts: number[];
+  readonly #byStart = new TinyQueue<Opening>([], (a, b) => a.at - b.at || a.index - b.index);
 
   constructor(
     readonly machines: Planned[],
     private readonly need: Need,
   ) {
-    this.#starts = machines.map((one) => earliest(one, need));
+    for (let i = 0; i < machines.length; i += 1) this.#enter(i);
+  }
+
+  #enter(index: number): void {
+    const one = this.machines[index];
+    if (one === undefined) return;
+    const at = earliest(one, this.need);
+    if (at < Infinity) this.#byStart.push({ index, at, version: one.version });
   }
 
   add(one: Planned): void {
     this.machines.push(one);
-    this.#starts.push(earliest(one, this.need));
+    this.#enter(this.machines.length - 1);
   }
 
-  /** The machine with the earliest start, the first of several; -1 if none ever has room. */
-  first(): number {
-    let best = -1;
-    let start = Infinity;
-    for (let i = 0; i < this.#starts.length; i += 1) {
-      const at = this.#starts[i] ?? Infinity;
-      if (at < start) {
-        best = i;
-        start = at;
-      }
+  /** The machine with the earliest start, the first of several, and that start; null if none ever has room. */
+  first(): { readonly index: number; readonly at: number } | null {
+    for (;;) {
+      const front = this.#byStart.peek();
+      if (front === undefined) return null;
+      if (this.machines[front.index]?.version === front.version) return front;
+      this.#byStart.pop();
+      this.#enter(front.index);
     }
-    return best;
   }
 
-  startAt(index: number): number {
-    return this.#starts[index] ?? Infinity;
+  occupy(index: number, from: number, until: number): void {
+    const one = this.machines[index];
+    if (one !== undefined) occupy(one, this.need, from, until);
   }
+}
 
-  occupy(index: number, until: number): void {
-    const one = this.machines[index];
-    if (one === undefined) return;
-    occupy(one, this.need, this.startAt(index), until);
-    this.#starts[index] = earliest(one, this.need);
+/** Machines open to jobs of one shape: cheap and dear ones. */
+interface Open {
+  readonly cheap: Openings;
+  readonly dear: Openings;
+}
+
+function openTo(plan: Plan, job: JobState, choosy: boolean): Open {
+  const { spec } = job;
+  const mayUse = (one: Planned): boolean =>
+    allows(spec, one.type.name, one.zone, one.spot) &&
+    !(choosy && plan.scarce.has(one.type.name)) &&
+    !(one.machine !== null && avoids(job, one.machine));
+  const open = plan.machines.filter(mayUse);
+  return {
+    cheap: new Openings(
+      open.filter((one) => one.spot),
+      spec,
+    ),
+    dear: new Openings(
+      open.filter((one) => !one.spot),
+      spec,
+    ),
+  };
+}
+
+/** What jobs of one shape have in common, as far as the plan goes; null: this one is alone in it. */
+function shapeOf({ spec, failedOn }: JobState): string | null {
+  if (failedOn.size > 0) return null;
+  const { cpus, gpus, memoryGb, types, zone, spot } = spec;
+  return JSON.stringify([cpus, gpus, memoryGb, types, zone, spot]);
+}
+
+/** A machine that the plan would rent for some, open to the jobs of every shape that may use it. */
+function addPlanned(plan: Plan, one: Planned, mine: Open): void {
+  plan.machines.push(one);
+  for (const { spec, choosy, open } of plan.open.values()) {
+    const kept = choosy && plan.scarce.has(one.type.name);
+    if (open !== mine && (kept || !allows(spec, one.type.name, one.zone, one.spot))) continue;
+    (one.spot ? open.cheap : open.dear).add(one);
   }
 }
 
 /** Finds each task its earliest start, on one more machine if it would be too late otherwise. */
 function planTasks(plan: Plan, job: JobState, count: number, latest: number, choosy: boolean): void {
-  const { state, now, machines } = plan;
+  const { state, now } = plan;
   const { spec } = job;
   const run = spec.form === 'service' ? Infinity : expectedRun(state, spec);
   const kind = kindsFor(state, spec, plan.scarce, choosy, now)[0];
-  const mayUse = (one: Planned): boolean =>
-    allows(spec, one.type.name, one.zone, one.spot) &&
-    !(choosy && plan.scarce.has(one.type.name)) &&
-    !(one.machine !== null && avoids(job, one.machine));
-  const open = machines.filter(mayUse);
-  const cheap = new Openings(
-    open.filter((one) => one.spot),
-    spec,
-  );
-  const dear = new Openings(
-    open.filter((one) => !one.spot),
-    spec,
-  );
+  const shape = shapeOf(job) ?? spec.id;
+  const known = plan.open.get(shape) ?? { spec, choosy, open: openTo(plan, job, choosy) };
+  plan.open.set(shape, known);
+  const { cheap, dear } = known.open;
   for (let left = Math.min(count, MOST_PLANNED); left > 0; left -= 1) {
     let among = cheap;
     let best = cheap.first();
     // Dear machines are for what would be too late on the cheap ones.
-    if (cheap.startAt(best) > latest) {
+    if ((best?.at ?? Infinity) > latest) {
       const other = dear.first();
-      if (dear.startAt(other) < cheap.startAt(best)) {
+      if (other !== null && other.at < (best?.at ?? Infinity)) {
         among = dear;
         best = other;
       }
     }
-    const start = among.startAt(best);
+    const start = best?.at ?? Infinity;
     if (kind !== undefined && start > latest && start > now.mono + kind.type.bootS * 1000) {
       want(plan, kind, 1);
       const rented = newMachine(kind.type, kind.zone, kind.spot, now);
-      machines.push(rented);
+      addPlanned(plan, rented, known.open);
       among = kind.spot ? cheap : dear;
-      best = among.machines.length;
-      among.add(rented);
+      best = { index: among.machines.length - 1, at: rented.readyAt };
     }
-    if (best < 0) break;
-    among.occupy(best, among.startAt(best) + run);
+    if (best === null) break;
+    among.occupy(best.index, best.at, best.at + run);
   }
+  // One that keeps off some machines is a shape of its own, which nobody will ask for again.
+  if (shape === spec.id) plan.open.delete(shape);
 }
 
 /** How many tasks of a kind fit a room. */
@@ -396,7 +431,14 @@
   noteDemand(state, now);
   const queue = waitingJobs(state, now);
   const scarce = scarceClasses(state);
-  const plan: Plan = { state, now, machines: planMachines(state, now), scarce, wanted: new Map() };
+  const plan: Plan = {
+    state,
+    now,
+    machines: planMachines(state, now),
+    scarce,
+    wanted: new Map(),
+    open: new Map(),
+  };
   for (const job of queue) {
     const choosy = onlyType(state, job.spec) === null;
     planTasks(plan, job, waitingTasks(job), latestStart(state, job, now), choosy);
--- a/src/core/easy.ts
+++ b/src/core/easy.ts
@@ -3,42 +3,33 @@
  * its shadow time, and later tasks may start now if they end before it or fit the
  * extra room. Room is counted per machine and resource.
  */
+import { isHurried, isPressed, startBy } from './aims.js';
 import { isUsable } from './fleet.js';
-import { claimTask, nextTask, waitingTasks } from './ledger.js';
-import { expectedRun, isPressed, teamUse, waitingJobs } from './queue.js';
-import { allows, avoids, fetchTime, fits, freeRoom, give, sum, take, type Need, type Room } from './room.js';
-import type { CoreState, Head, JobState, LiveClaim, Machine, Now } from './state.js';
-import type { JobSpec, MachineType } from './types.js';
+import { expectedRun, nextTask, waitingTasks } from './jobs.js';
+import { keepRoom } from './keeping.js';
+import { claimTask } from './ledger.js';
+import { currentQueue } from './queue.js';
+import { allows, avoids, fetchTime, fits, give, sum, take } from './room.js';
+import { onlyType, scarceTypes } from './scarce.js';
+import { tightest, type Hold, type Shadow, type Site } from './sites.js';
+import type { CoreState, Head, JobState, LiveClaim, Machine, Now, TeamUse } from './state.js';
+import type { Need } from './types.js';
 
 const EPSILON = 1e-6;
-/** So many usual gaps without an arrival mean that a class has ended for now. */
-export const ARRIVALS_OVER = 8;
 /** What an ordinary machine costs a choice against a cheap one that fits as well. */
 const ORDINARY_PENALTY = 1;
 
-/** While no more machines can be had, room is kept for this share of the most tasks at once of late. */
-const KEPT_WHEN_SHORT = 0.6;
-
 /** What it costs a choice to keep a machine busy for the whole of a run more. */
 const LONGER_PENALTY = 0.5;
 
 /** What it costs a choice to miss the start aim of a task for want of its image. */
 const MISS_PENALTY = 1.5;
 
-/** A machine as the placing pass sees it. */
-export interface Site {
-  readonly machine: Machine;
-  readonly type: MachineType;
-  readonly free: Room;
-  /** Steady time at which the last of its tasks is expected to end. */
-  busyUntil: number;
-}
-
-/** Room kept for a blocked job on one machine: all of it until `shadow`, `extra` from then on. */
-export interface Hold {
-  readonly shadow: number;
-  readonly extra: Room;
-}
+/**
+ * So many machines that a task fits are weighed against one another, and as many that hold
+ * its image: a choice among more is hardly better, and would cost what the fleet's size is.
+ */
+const MOST_WEIGHED = 160;
 
 /** When a task on a machine is expected to be gone; one past its end, an allowance from now. */
 export function expectedEnd(state: CoreState, claim: LiveClaim, now: Now): number {
@@ -70,6 +61,8 @@
   return job.spec.form === 'gang' ? waitingTasks(job) : 1;
 }
 
+type Reservation = { at: number; holds: Map<Site, Hold> } | null;
+
 /**
  * The shadow time: running tasks are gone through in the order of their expected
  * ends, collecting the room they free, until enough tasks of the job fit. Null when
@@ -81,12 +74,10 @@
   need: Need,
   count: number,
   now: Now,
-): { at: number; holds: Map<Site, Hold> } | null {
+): Reservation {
   return count === 1 ? shadowOfOne(state, sites, need, now) : collectRoom(state, sites, need, count, now);
 }
 
-type Shadow = ReturnType<typeof findShadow>;
-
 /** The plain walk over all ends, for any number of tasks. */
 export function collectRoom(
   state: CoreState,
@@ -94,7 +85,7 @@
   need: Need,
   count: number,
   now: Now,
-): Shadow {
+): Reservation {
   const room = new Map(sites.map((site) => [site, { ...site.free }]));
   const fitting = (site: Site): number => {
     const trial = { ...(room.get(site) ?? site.free) };
@@ -135,34 +126,56 @@
 }
 
 /**
- * The same for a single task, which needs just one machine: each is walked by itself
- * to the end at which the task fits, and no further than the earliest found so far.
+ * The same for a single task, which needs just one machine: each is walked by itself to the
+ * end at which the task fits. What was found on a machine holds until something changes on
+ * it, or times have moved on.
  */
-function shadowOfOne(state: CoreState, sites: readonly Site[], need: Need, now: Now): Shadow {
-  let best: { at: number; site: Site; room: Room } | null = null;
+function shadowOfOne(state: CoreState, sites: readonly Site[], need: Need, now: Now): Reservation {
+  let best: Site | null = null;
+  let found: Shadow | null = null;
   for (const site of sites) {
-    if (fits(need, site.free)) {
-      best = { at: now.mono, site, room: { ...site.free } };
-      break;
-    }
-    if (!fits(need, site.type)) continue;
+    const shadow = shadowOn(state, site, need, now);
+    if (shadow.at >= (found?.at ?? Infinity)) continue;
+    best = site;
+    found = shadow;
+    if (shadow.at <= now.mono) break;
+  }
+  if (best === null || found === null) return null;
+  return { at: found.at, holds: new Map([[best, holdOf(found, need)]]) };
+}
+
+function holdOf(shadow: Shadow, need: Need): Hold {
+  const extra = { ...shadow.room };
+  take(extra, need);
+  return { shadow: shadow.at, extra };
+}
+
+/** When one task that needs so much would fit a machine, and what is free there then. */
+function shadowOn(state: CoreState, site: Site, need: Need, now: Now): Shadow {
+  const { version } = site;
+  const { round } = state.sites;
+  const known = site.shadow;
+  if (known !== null && known.version === version && known.round === round && known.need === need)
+    return known;
+  let at = Infinity;
+  const room = { ...site.free };
+  if (fits(need, room)) at = now.mono;
+  else if (fits(need, site.type)) {
     const ends: { at: number; claim: LiveClaim }[] = [];
     for (const claim of site.machine.claims.values()) {
-      const at = expectedEnd(state, claim, now);
-      if (at < (best?.at ?? Infinity)) ends.push({ at, claim });
+      const end = expectedEnd(state, claim, now);
+      if (end < Infinity) ends.push({ at: end, claim });
     }
     ends.sort((a, b) => a.at - b.at);
-    const room = { ...site.free };
-    for (const { at, claim } of ends) {
-      give(room, claim.job.spec);
+    for (const end of ends) {
+      give(room, end.claim.job.spec);
       if (!fits(need, room)) continue;
-      best = { at, site, room };
+      at = end.at;
       break;
     }
   }
-  if (best === null) return null;
-  take(best.room, need);
-  return { at: best.at, holds: new Map([[best.site, { shadow: best.at, extra: best.room }]]) };
+  site.shadow = { need, version, round, at, room };
+  return site.shadow;
 }
 
 /** The paper's two tests, on a machine on which room is held. */
@@ -170,106 +183,18 @@
   return end <= hold.shadow || fits(need, hold.extra);
 }
 
-/** Types that some waiting job needs for want of any other, with the first such job of each. */
-function scarceTypes(state: CoreState, queue: readonly JobState[]): Map<string, JobState> {
-  const scarce = new Map<string, JobState>();
-  if (state.types.size < 2) return scarce;
-  for (const job of queue) {
-    const only = onlyType(state, job.spec);
-    if (only !== null && !scarce.has(only)) scarce.set(only, job);
-  }
-  return scarce;
-}
-
-/** Types that some class that came of late needs for want of any other. */
-export function scarceClasses(state: CoreState): Set<string> {
-  const scarce = new Set<string>();
-  if (state.types.size < 2) return scarce;
-  for (const { spec } of state.demand.values()) {
-    const only = onlyType(state, spec);
-    if (only !== null) scarce.add(only);
-  }
-  return scarce;
-}
-
-/** The one type that can take a job's tasks, or null if several can. */
-export function onlyType(state: CoreState, spec: JobSpec): string | null {
-  let only: string | null = null;
-  for (const type of state.types.values()) {
-    const able = fits(spec, type) && (spec.types?.includes(type.name) ?? true);
-    if (!able) continue;
-    if (only !== null) return null;
-    only = type.name;
-  }
-  return only;
-}
-
-/** Tasks of a class that are out or waiting now. */
-function present(state: CoreState): Map<string, number> {
-  const counts = new Map<string, number>();
-  for (const job of state.jobs.values()) {
-    const { jobClass } = job.spec;
-    counts.set(jobClass, (counts.get(jobClass) ?? 0) + job.claims.size + waitingTasks(job));
-  }
-  return counts;
-}
-
-/** Whether a class cannot wait for a machine to boot: its tasks are to start sooner. */
-export function isHurried(state: CoreState, spec: JobSpec): boolean {
-  const within = state.rules.startWithin.get(spec.jobClass);
-  if (within === undefined) return false;
-  for (const type of state.types.values()) if (fits(spec, type) && within > type.bootS * 1000) return false;
-  return true;
-}
-
-/**
- * Takes room off the sites for tasks of hurried classes that are likely to come: up to the most
- * that were there at once of late. It is kept on machines with many images, always the same
- * ones as far as can be, for elsewhere each image would have to be fetched first.
- */
-function keepRoom(state: CoreState, sites: readonly Site[], now: Now): Map<Site, Room> {
-  const kept = new Map<Site, Room>();
-  const hurried = [...state.demand.values()].filter(({ spec }) => isHurried(state, spec));
-  if (hurried.length === 0) return kept;
-  const counts = present(state);
-  const only = scarceClasses(state);
-  // Others wait for the same room then, and many of them will be late.
-  const short = [...state.refusedUntil.values()].some((until) => until > now.mono);
-  const share = short ? KEPT_WHEN_SHORT : 1;
-  const rich = [...sites].sort((a, b) => b.machine.images.size - a.machine.images.size);
-  for (const { spec, peak, arrivedAt, gap } of hurried) {
-    if (now.mono - arrivedAt > ARRIVALS_OVER * gap) continue;
-    const choosy = onlyType(state, spec) === null;
-    let missing = Math.ceil(share * peak) - (counts.get(spec.jobClass) ?? 0);
-    for (const site of rich) {
-      if (missing <= 0) break;
-      // What others can run on nothing else is not kept from them.
-      if (choosy && only.has(site.machine.type)) continue;
-      if (!allows(spec, site.machine.type, site.machine.zone, site.machine.spot)) continue;
-      for (; missing > 0 && fits(spec, site.free); missing -= 1) {
-        take(site.free, spec);
-        const room = kept.get(site) ?? { cpus: 0, gpus: 0, memoryGb: 0 };
-        give(room, spec);
-        kept.set(site, room);
-      }
-    }
-  }
-  return kept;
-}
-
 interface Pass {
   readonly state: CoreState;
   readonly now: Now;
-  readonly sites: readonly Site[];
   readonly largest: number;
   /** Room held for the head of the queue. */
   head: Map<Site, Hold>;
-  /** Room kept for hurried tasks to come, already taken off the sites. */
-  readonly kept: ReadonlyMap<Site, Room>;
   /** Room held for jobs that only one type can take, against jobs with a choice. */
   readonly scarce: Map<Site, Hold>;
   /** The lowest priority among jobs that room is so held for. */
   readonly scarcePriority: number;
+  /** Needs for which no machine has room in this pass, with what is kept and without. */
+  readonly nowhere: { readonly need: Need; readonly whole: boolean }[];
 }
 
 /** Whether a job keeps off room held for jobs that only one type can take. */
@@ -279,81 +204,185 @@
   return !(job.priority < scarcePriority && isPressed(state, job, now));
 }
 
-/** Steady time by which a job's tasks are to start; Infinity where no aim speaks of it. */
-function startTime(state: CoreState, job: JobState, now: Now): number {
-  const within = state.rules.startWithin.get(job.spec.jobClass);
-  return within === undefined ? Infinity : now.mono - (now.wall - job.readyAt) + within;
-}
-
 /** A start travels in the answer to a report; so long until the next is due at the latest. */
 function untilReport(state: CoreState, machine: Machine, now: Now): number {
   if (machine.held !== null || machine.heardAt === null) return 0;
   return Math.max(0, machine.heardAt + state.rules.timing.longestReport - now.mono);
 }
 
-function choose(pass: Pass, job: JobState, placed: readonly Site[]): { site: Site; end: number } | null {
+/** What one job's tasks go by when a machine is chosen for them. */
+interface Wish {
+  readonly job: JobState;
+  readonly run: number;
+  readonly choosy: boolean;
+  readonly startBy: number;
+  /** It may use what is kept for hurried tasks. */
+  readonly whole: boolean;
+}
+
+function wishOf(pass: Pass, job: JobState): Wish {
   const { state, now } = pass;
+  return {
+    job,
+    run: expectedRun(state, job.spec),
+    choosy: yields(pass, job),
+    startBy: startBy(state, job, now),
+    whole: isHurried(state, job.spec) || isPressed(state, job, now),
+  };
+}
+
+/** What it costs to put a task on a machine, and when it would end there; null: it may not. */
+function weigh(
+  pass: Pass,
+  wish: Wish,
+  site: Site,
+  open: (zone: string) => boolean,
+): { score: number; end: number } | null {
+  const { state, now } = pass;
+  const { machine, type } = site;
+  const { job, run } = wish;
   const { spec } = job;
-  const open = zoneRule(state, job, placed);
-  const run = expectedRun(state, spec);
-  const choosy = yields(pass, job);
-  const startBy = startTime(state, job, now);
-  const canStartInTime = startBy > now.mono;
-  const usesKept = pass.kept.size > 0 && (isHurried(state, spec) || isPressed(state, job, now));
-  let best: { site: Site; end: number; score: number } | null = null;
-  for (const site of pass.sites) {
-    const { machine, type, free } = site;
-    const spare = usesKept ? pass.kept.get(site) : undefined;
-    if (
-      !fits(spec, spare === undefined ? free : sum(free, spare)) ||
-      !allows(spec, machine.type, machine.zone, machine.spot) ||
-      !open(machine.zone)
-    ) {
-      continue;
+  const free = wish.whole ? sum(site.free, site.kept) : site.free;
+  if (!fits(spec, free) || !allows(spec, machine.type, machine.zone, machine.spot) || !open(machine.zone))
+    return null;
+  if (avoids(job, machine.name) || !isUsable(state, machine, now)) return null;
+  const fetch = fetchTime(machine, type, spec, now);
+  const end = spec.form === 'service' ? Infinity : now.mono + fetch + run;
+  const hold = pass.head.get(site);
+  if (hold !== undefined && !mayBackfill(hold, spec, end)) return null;
+  const kept = wish.choosy ? pass.scarce.get(site) : undefined;
+  if (kept !== undefined && !mayBackfill(kept, spec, end)) return null;
+  // Tight fits first, so that large rooms stay whole; a fetch costs its share of the run.
+  const left = (site.free.cpus - spec.cpus) / Math.max(EPSILON, pass.largest);
+  // A machine that is busy until then anyway costs nothing more; another is paid for longer.
+  const longer = Math.max(0, end - Math.max(now.mono, site.busyUntil)) / (fetch + run + 1);
+  const missed =
+    wish.startBy < Infinity && now.mono + untilReport(state, machine, now) + fetch > wish.startBy;
+  const score =
+    (missed ? MISS_PENALTY : 0) +
+    left +
+    fetch / (fetch + run + 1) +
+    (machine.spot ? 0 : ORDINARY_PENALTY) +
+    LONGER_PENALTY * longer;
+  return { score, end };
+}
+
+interface Candidate {
+  readonly site: Site;
+  score: number;
+  end: number;
+}
+
+/** Machines weighed for a job's tasks; after a task is put on one, only that is weighed anew. */
+class Candidates {
+  readonly #found = new Map<Site, Candidate>();
+  /** Some that a task fits were left out. */
+  #more = false;
+
+  constructor(
+    private readonly pass: Pass,
+    private readonly wish: Wish,
+    private readonly open: (zone: string) => boolean,
+  ) {
+    this.#gather();
+  }
+
+  #add(site: Site): boolean {
+    const weighed = weigh(this.pass, this.wish, site, this.open);
+    if (weighed !== null) this.#found.set(site, { site, ...weighed });
+    return weighed !== null;
+  }
+
+  #gather(): void {
+    const { state } = this.pass;
+    const { spec } = this.wish.job;
+    this.#found.clear();
+    this.#more = false;
+    let roomy = false;
+    let left = MOST_WEIGHED;
+    for (const group of state.sites.groups) {
+      if (!allows(spec, group.type.name, group.zone, group.spot)) {
+        roomy = true;
+        continue;
+      }
+      for (const site of tightest(group, spec, this.wish.whole)) {
+        roomy = true;
+        if (!this.#add(site) || --left > 0) continue;
+        this.#more = true;
+        break;
+      }
+      if (this.#more) break;
+    }
+    if (!this.#more) {
+      if (!roomy) this.pass.nowhere.push({ need: spec, whole: this.wish.whole });
+      return;
+    }
+    left = MOST_WEIGHED;
+    for (const machine of state.holders.get(spec.image) ?? []) {
+      const site = state.sites.of(machine);
+      if (site !== undefined && !this.#found.has(site) && this.#add(site) && --left === 0) break;
     }
-    if (avoids(job, machine.name)) continue;
-    const fetch = fetchTime(machine, type, spec, now);
-    const end = spec.form === 'service' ? Infinity : now.mono + fetch + run;
-    const hold = pass.head.get(site);
-    if (hold !== undefined && !mayBackfill(hold, spec, end)) continue;
-    const kept = choosy ? pass.scarce.get(site) : undefined;
-    if (kept !== undefined && !mayBackfill(kept, spec, end)) continue;
-    // Tight fits first, so that large rooms stay whole; a fetch costs its share of the run.
-    const left = (free.cpus - spec.cpus) / Math.max(EPSILON, pass.largest);
-    // A machine that is busy until then anyway costs nothing more; another is paid for longer.
-    const longer = Math.max(0, end - Math.max(now.mono, site.busyUntil)) / (fetch + run + 1);
-    const missed = canStartInTime && now.mono + untilReport(state, machine, now) + fetch > startBy;
-    const score =
-      (missed ? MISS_PENALTY : 0) +
-      left +
-      fetch / (fetch + run + 1) +
-      (machine.spot ? 0 : ORDINARY_PENALTY) +
-      LONGER_PENALTY * longer;
-    if (best === null || score < best.score) best = { site, end, score };
   }
-  return best;
+
+  /** The machine that costs least, of equal ones the first known. */
+  best(): Candidate | null {
+    let best: Candidate | null = null;
+    for (const one of this.#found.values()) {
+      if (
+        best === null ||
+        one.score < best.score ||
+        (one.score === best.score && one.site.machine.order < best.site.machine.order)
+      )
+        best = one;
+    }
+    if (best !== null || !this.#more) return best;
+    this.#gather();
+    return this.best();
+  }
+
+  /** Looks at one machine again, on which something has changed. */
+  again({ site }: Candidate): void {
+    if (!this.#add(site)) this.#found.delete(site);
+  }
 }
 
 function occupy(pass: Pass, job: JobState, site: Site, end: number): void {
-  take(site.free, job.spec);
+  const { spec } = job;
+  // What was kept for tasks like it is its own first.
+  if (!fits(spec, site.free)) {
+    pass.state.sites.used(spec);
+    const free = sum(site.free, site.kept);
+    take(free, spec);
+    const kept = { cpus: 0, gpus: 0, memoryGb: 0 };
+    for (const amount of ['cpus', 'gpus', 'memoryGb'] as const) {
+      kept[amount] = Math.min(site.kept[amount], free[amount]);
+      free[amount] -= kept[amount];
+    }
+    Object.assign(site.kept, kept);
+    Object.assign(site.free, free);
+  } else take(site.free, spec);
   site.busyUntil = Math.max(site.busyUntil, end);
+  site.version += 1;
   for (const hold of [pass.head.get(site), pass.scarce.get(site)]) {
-    if (hold !== undefined && end > hold.shadow) take(hold.extra, job.spec);
+    if (hold !== undefined && end > hold.shadow) take(hold.extra, spec);
   }
 }
 
-/** Places what must start together: all of it, or nothing. */
-function placeTogether(pass: Pass, job: JobState, count: number): { site: Site; end: number }[] | null {
+/** Places what must start together, all of it or nothing. */
+function placeGang(pass: Pass, wish: Wish, count: number): { site: Site; end: number }[] | null {
+  const { state } = pass;
+  const { job } = wish;
   const placed: { site: Site; end: number }[] = [];
   while (placed.length < count) {
-    const found = choose(
-      pass,
+    const open = zoneRule(
+      state,
       job,
       placed.map(({ site }) => site),
     );
+    const found = new Candidates(pass, wish, open).best();
     if (found === null) {
       for (const { site, end } of placed) {
-        give(site.free, job.spec);
+        state.sites.settle(site);
         for (const hold of [pass.head.get(site), pass.scarce.get(site)]) {
           if (hold !== undefined && end > hold.shadow) give(hold.extra, job.spec);
         }
@@ -361,109 +390,159 @@
       return null;
     }
     occupy(pass, job, found.site, found.end);
-    placed.push(found);
+    placed.push({ site: found.site, end: found.end });
   }
   return placed;
 }
 
-function reserveFor(pass: Pass, job: JobState, sites: readonly Site[]): ReturnType<typeof findShadow> {
+function reserveFor(pass: Pass, job: JobState): Reservation {
   const { state, now } = pass;
+  const { spec } = job;
   const open = zoneRule(state, job);
   // A head that keeps off a machine must not reserve it either: nobody could use it then.
   const off = yields(pass, job) ? pass.scarce : new Map<Site, Hold>();
-  const able = sites.filter(
-    (site) =>
+  const able: Site[] = [];
+  for (const site of state.sites.all) {
+    const { machine } = site;
+    if (
       !off.has(site) &&
-      allows(job.spec, site.machine.type, site.machine.zone, site.machine.spot) &&
-      !avoids(job, site.machine.name) &&
-      open(site.machine.zone),
-  );
-  if (!job.spec.oneZone) return findShadow(state, able, job.spec, together(job), now);
-  let best: ReturnType<typeof findShadow> = null;
+      isUsable(state, machine, now) &&
+      allows(spec, machine.type, machine.zone, machine.spot) &&
+      !avoids(job, machine.name) &&
+      open(machine.zone)
+    )
+      able.push(site);
+  }
+  if (!spec.oneZone) return findShadow(state, able, spec, together(job), now);
+  let best: Reservation = null;
   for (const zone of new Set(able.map(({ machine }) => machine.zone))) {
     const within = able.filter(({ machine }) => machine.zone === zone);
-    const found = findShadow(state, within, job.spec, together(job), now);
+    const found = findShadow(state, within, spec, together(job), now);
     if (found !== null && (best === null || found.at < best.at)) best = found;
   }
   return best;
 }
 
-function withinLimits(
-  state: CoreState,
-  job: JobState,
-  count: number,
-  used: { cpus: number; gpus: number },
-): boolean {
+function withinLimits(state: CoreState, job: JobState, count: number): boolean {
   const limits = state.rules.teams.get(job.spec.team);
   if (limits === undefined) return true;
   const { cpus, gpus } = job.spec;
+  const used: Pick<TeamUse, 'cpus' | 'gpus'> = state.use.get(job.spec.team) ?? { cpus: 0, gpus: 0 };
   return (
     (limits.cpusMax <= 0 || used.cpus + count * cpus <= limits.cpusMax + EPSILON) &&
     (limits.gpusMax <= 0 || used.gpus + count * gpus <= limits.gpusMax + EPSILON)
   );
 }
 
-/** One pass over the queue: starts what may start, and says what the head waits for. */
-export function place(state: CoreState, now: Now): void {
-  const sites: Site[] = [];
-  let largest = 0;
-  for (const machine of state.machines.values()) {
+/** Whether tasks may be put on a machine, as far as its state goes. */
+function isSite(state: CoreState, machine: Machine, now: Now): boolean {
+  // Dear machines run dry unless the plan still has a use for them.
+  return (
+    isUsable(state, machine, now) && (machine.spot || state.planAt === 0 || state.inPlan.has(machine.name))
+  );
+}
+
+/**
+ * Brings the index up to date: with what has changed, which it returns, or with all of it
+ * (null) once times have moved on.
+ */
+function refreshSites(state: CoreState, now: Now, all: boolean): Site[] | null {
+  const endOf = (claim: LiveClaim): number => expectedEnd(state, claim, now);
+  const changed: Site[] = [];
+  const refresh = (machine: Machine): void => {
     const type = state.types.get(machine.type);
-    if (type === undefined || !isUsable(state, machine, now)) continue;
-    // Dear machines run dry unless the plan still has a use for them.
-    if (!machine.spot && state.planAt > 0 && !state.inPlan.has(machine.name)) continue;
-    largest = Math.max(largest, type.cpus);
-    let busyUntil = now.mono;
-    for (const claim of machine.claims.values()) {
-      busyUntil = Math.max(busyUntil, expectedEnd(state, claim, now));
-    }
-    sites.push({ machine, type, free: freeRoom(machine, type), busyUntil });
+    if (type === undefined || !state.machines.has(machine.name) || !isSite(state, machine, now))
+      state.sites.remove(machine);
+    else changed.push(state.sites.update(machine, type, endOf));
+  };
+  for (const machine of state.touched) refresh(machine);
+  state.touched.clear();
+  if (!all) return changed;
+  state.sites.round += 1;
+  for (const machine of state.machines.values()) refresh(machine);
+  return null;
+}
+
+/** Room on the machines of scarce types, held for the first job that needs them. */
+function holdScarce(state: CoreState, jobs: ReadonlyMap<string, JobState>, now: Now): Map<Site, Hold> {
+  const held = new Map<Site, Hold>();
+  if (jobs.size === 0) return held;
+  for (const site of state.sites.all) {
+    const job = jobs.get(site.machine.type);
+    if (job === undefined) continue;
+    const shadow = shadowOn(state, site, job.spec, now);
+    if (shadow.at < Infinity) held.set(site, holdOf(shadow, job.spec));
   }
-  const queue = waitingJobs(state, now);
+  return held;
+}
+
+/** One pass over the queue: starts what may start, and says what the head waits for. */
+export function place(state: CoreState, now: Now, timesMoved: boolean): void {
+  const changed = refreshSites(state, now, timesMoved);
+  const queue = currentQueue(state, now);
+  keepRoom(state, now, changed);
   const scarceJobs = scarceTypes(state, queue);
   const scarcePriority = Math.min(...[...scarceJobs.values()].map((job) => job.priority));
-  const kept = keepRoom(state, sites, now);
-  const pass: Pass = { state, now, sites, largest, kept, head: new Map(), scarce: new Map(), scarcePriority };
-  for (const [type, job] of scarceJobs) {
-    for (const site of sites) {
-      if (site.machine.type !== type) continue;
-      const hold = findShadow(state, [site], job.spec, 1, now)?.holds.get(site);
-      if (hold !== undefined) pass.scarce.set(site, hold);
-    }
-  }
-  const use = teamUse(state);
+  const pass: Pass = {
+    state,
+    now,
+    largest: state.sites.largest(),
+    head: new Map(),
+    scarce: holdScarce(state, scarceJobs, now),
+    scarcePriority,
+    nowhere: [],
+  };
   let head: Head | null = null;
   for (const job of queue) {
-    const { spec } = job;
     // What of a gang is left behind by some of its tasks waits until all have ended.
-    if (spec.form === 'gang' && job.claims.size > 0) continue;
-    const used = use.get(spec.team) ?? { cpus: 0, gpus: 0 };
-    use.set(spec.team, used);
-    while (waitingTasks(job) > 0) {
-      const count = together(job);
-      if (!withinLimits(state, job, count, used)) break; // a job of a team at its limit is skipped
-      const placed = placeTogether(pass, job, count);
-      if (placed === null) {
-        if (head === null) {
-          const shadow = reserveFor(pass, job, sites);
-          pass.head = shadow?.holds ?? new Map<Site, Hold>();
-          head = {
-            job: spec.id,
-            machines: [...pass.head.keys()].map(({ machine }) => machine.name),
-            shadow: shadow?.at ?? null,
-            reason: shadow === null ? 'no machine here could ever take it' : 'waits for running tasks to end',
-          };
-        }
-        break;
-      }
-      for (const { site, end } of placed) {
-        const task = nextTask(job);
-        if (task === null) break;
-        claimTask(state, job, task, site.machine, now, end);
-        used.cpus += spec.cpus;
-        used.gpus += spec.gpus;
-      }
-    }
+    if (job.spec.form === 'gang' && job.claims.size > 0) continue;
+    if (!withinLimits(state, job, together(job))) continue; // a job of a team at its limit is skipped
+    if (placeJob(pass, job) || head !== null) continue;
+    const reservation = reserveFor(pass, job);
+    pass.head = reservation?.holds ?? new Map<Site, Hold>();
+    head = {
+      job: job.spec.id,
+      machines: [...pass.head.keys()].map(({ machine }) => machine.name),
+      shadow: reservation?.at ?? null,
+      reason: reservation === null ? 'no machine here could ever take it' : 'waits for running tasks to end',
+    };
   }
   state.head = head;
 }
+
+/** Puts a job's waiting tasks on machines. False: some are left for want of room. */
+function placeJob(pass: Pass, job: JobState): boolean {
+  const { state, now } = pass;
+  const { spec } = job;
+  const wish = wishOf(pass, job);
+  const hopeless = pass.nowhere.some(({ need, whole }) => fits(need, spec) && (whole || !wish.whole));
+  if (hopeless) return false;
+  const claim = (site: Site, end: number): void => {
+    const task = nextTask(job);
+    if (task === null) return;
+    claimTask(state, job, task, site.machine, now, end);
+  };
+  if (spec.form === 'gang') {
+    const placed = placeGang(pass, wish, together(job));
+    for (const { site, end } of placed ?? []) {
+      claim(site, end);
+      state.sites.settle(site);
+    }
+    return placed !== null;
+  }
+  const zoned = spec.oneZone || spec.spread;
+  let candidates: Candidates | null = null;
+  while (waitingTasks(job) > 0) {
+    if (!withinLimits(state, job, 1)) return true;
+    // Where one task lies decides on the zones of the others.
+    if (candidates === null || zoned) candidates = new Candidates(pass, wish, zoneRule(state, job));
+    const found = candidates.best();
+    if (found === null) return false;
+    const { site, end } = found;
+    occupy(pass, job, site, end);
+    claim(site, end);
+    state.sites.settle(site);
+    candidates.again(found);
+  }
+  return true;
+}
--- a/src/core/effects.ts
+++ b/src/core/effects.ts
@@ -1,7 +1,6 @@
 /** What goes into `step` and what comes out of it. */
-import type { ChunkName, ClassMemory } from '../wire/records.js';
+import type { ChunkName, ClassMemory } from './records.js';
 import type { Layout } from './state.js';
-import type { Transaction } from '../wire/state.js';
 import type {
   Stamped,
   ChunkRecord,
@@ -11,6 +10,7 @@
   Report,
   WorkerCommand,
   EndedRecord,
+  Transaction,
 } from './types.js';
 
 export interface LoadedChunk {
--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -1,9 +1,9 @@
 /** Machines: what their reports prove, what they are told, and when they are given up. */
 import type { Effect } from './effects.js';
+import { expectedRun } from './jobs.js';
 import { isDurable, recordStrayDone, releaseClaim } from './ledger.js';
 import { log } from './log.js';
-import { expectedRun } from './queue.js';
-import { isAtFault } from './room.js';
+import { isAtFault, noRoom } from './room.js';
 import {
   isDone,
   isExitKept,
@@ -36,6 +36,8 @@
     takenAt: null,
     listed: null,
     claims: new Map(),
+    used: noRoom(),
+    order: state.nextMachine++,
     exits: new Map(),
     reported: [],
     images: new Map(),
@@ -80,16 +82,30 @@
   );
 }
 
+function dropImage(state: CoreState, machine: Machine, image: string): void {
+  machine.images.delete(image);
+  const holders = state.holders.get(image);
+  holders?.delete(machine);
+  if (holders?.size === 0) state.holders.delete(image);
+}
+
+function dropImages(state: CoreState, machine: Machine): void {
+  for (const image of [...machine.images.keys()]) dropImage(state, machine, image);
+}
+
 /** Remembers that a machine holds an image, dropping the least recently used. */
 function useImage(state: CoreState, machine: Machine, image: string, gb: number): void {
   machine.images.delete(image);
   machine.images.set(image, gb);
+  const holders = state.holders.get(image);
+  if (holders === undefined) state.holders.set(image, new Set([machine]));
+  else holders.add(machine);
   const room = state.types.get(machine.type)?.cacheGb ?? 0;
   let held = 0;
   for (const size of machine.images.values()) held += size;
   for (const [oldest, size] of machine.images) {
     if (held <= room || oldest === image) break;
-    machine.images.delete(oldest);
+    dropImage(state, machine, oldest);
     held -= size;
   }
 }
@@ -152,6 +168,8 @@
 function noteStage(state: CoreState, machine: Machine, claim: LiveClaim, task: ReportedTask, now: Now): void {
   const { spec } = claim.job;
   if (claim.stage !== task.stage) {
+    if (claim.stage === 'running') claim.job.running -= 1;
+    if (task.stage === 'running') claim.job.running += 1;
     claim.stage = task.stage;
     if (task.stage === 'running' && claim.runningSince === null) {
       claim.runningSince = now.mono;
@@ -201,7 +219,7 @@
     machine.idleSince = now.mono;
     state.placeDirty = true;
   }
-  if (report.session > machine.session && machine.session > 0) machine.images.clear();
+  if (report.session > machine.session && machine.session > 0) dropImages(state, machine);
   machine.address = report.address;
   machine.session = report.session;
   machine.seq = report.seq;
@@ -229,6 +247,7 @@
   }
   applyProof(state, machine, report, whole);
   machine.reported = report.tasks;
+  state.touched.add(machine);
   if (machine.claims.size > 0) machine.idleSince = now.mono;
   if (machine.erredJobs.size >= 2) leave(machine, 'fails its tasks');
   return true;
@@ -301,7 +320,9 @@
     for (const claim of [...machine.claims.values()]) releaseClaim(state, claim, false);
     const held = release(state, machine);
     if (held !== null) effects.push({ kind: 'reply', reply: held.reply, body: { kind: 'unable' } });
+    dropImages(state, machine);
     state.machines.delete(name);
+    state.touched.add(machine);
     state.placeDirty = true;
   }
   for (const oldest of state.gone) {
--- /dev/null
+++ b/src/core/jobs.ts
@@ -0,0 +1,110 @@
+/**
+ * Who is where: the one owner of which tasks wait, which are out and what they take. The
+ * counts that placing and planning go by are kept with each change, so that neither has to
+ * walk over all jobs or all machines for them.
+ */
+import { give, noRoom, take } from './room.js';
+import { isDone, taskKey, type CoreState, type JobState, type LiveClaim, type Machine } from './state.js';
+import type { JobSpec } from './types.js';
+
+/** Whether nothing that a job awaits is still to be done. */
+export const isReady = (job: JobState): boolean => job.waitsFor.size === 0;
+
+export const isComplete = (job: JobState): boolean =>
+  job.over === null && job.spec.form !== 'service' && job.doneCount === job.spec.tasks;
+
+export function waitingTasks(job: JobState): number {
+  return job.over === null && isReady(job) ? job.spec.tasks - job.doneCount - job.claims.size : 0;
+}
+
+/** Expected run time of a task: its owner's estimate, corrected by what its class has shown. */
+export function expectedRun(state: CoreState, spec: JobSpec): number {
+  return state.rules.policy.expectedRun(spec) * (state.runRatio.get(spec.jobClass) ?? 1);
+}
+
+/**
+ * From being placed to running: the write, the wait for the machine's next report, the
+ * start itself. What is left less than that is lost already; counting on all of it, a
+ * queue under overload serves everyone just too late.
+ */
+export const startLatency = (state: CoreState): number => 1.5 * state.rules.timing.longestReport;
+
+/** Brings the counts up to date with a job of which something has changed. */
+export function recount(state: CoreState, job: JobState): void {
+  const waiting = waitingTasks(job);
+  const present = job.claims.size + waiting;
+  const { jobClass } = job.spec;
+  if (present !== job.present) {
+    state.present.set(jobClass, (state.present.get(jobClass) ?? 0) + present - job.present);
+    job.present = present;
+  }
+  if (waiting > 0 && job.waiting === 0) {
+    state.waiting.add(job);
+    if (!job.queued) state.joined.push(job);
+  } else if (waiting === 0 && job.waiting > 0) state.waiting.delete(job);
+  job.waiting = waiting;
+}
+
+/** The next task of a job that waits for a machine, or null. */
+export function nextTask(job: JobState): number | null {
+  for (;;) {
+    const again = job.again[0];
+    if (again !== undefined) {
+      if (!isDone(job, again) && !job.claims.has(again)) return again;
+      job.again.shift();
+    } else if (job.cursor < job.spec.tasks) {
+      if (!isDone(job, job.cursor) && !job.claims.has(job.cursor)) return job.cursor;
+      job.cursor += 1;
+    } else {
+      return null;
+    }
+  }
+}
+
+/** Enters a claim: with its job, on its machine, in its team's use. */
+export function enterClaim(state: CoreState, claim: LiveClaim, machine: Machine): void {
+  const { job, task } = claim;
+  const { spec } = job;
+  job.claims.set(task, claim);
+  machine.claims.set(taskKey(spec.id, task), claim);
+  give(machine.used, spec);
+  state.touched.add(machine);
+  const use = state.use.get(spec.team) ?? { cpus: 0, gpus: 0, tasks: 0 };
+  use.cpus += spec.cpus;
+  use.gpus += spec.gpus;
+  use.tasks += 1;
+  state.use.set(spec.team, use);
+  recount(state, job);
+}
+
+/** Takes a claim off again. The caller holds the proof that the task is gone. */
+export function dropClaim(state: CoreState, claim: LiveClaim): void {
+  const { job, task } = claim;
+  const { spec } = job;
+  const machine = state.machines.get(claim.machine);
+  job.claims.delete(task);
+  if (claim.stage === 'running') job.running -= 1;
+  if (machine?.claims.delete(taskKey(spec.id, task)) === true) {
+    take(machine.used, spec);
+    // Sums of fractions drift; an empty machine is empty.
+    if (machine.claims.size === 0) Object.assign(machine.used, noRoom());
+    state.touched.add(machine);
+  }
+  const use = state.use.get(spec.team);
+  if (use !== undefined) {
+    use.tasks -= 1;
+    if (use.tasks === 0) state.use.delete(spec.team);
+    else {
+      use.cpus -= spec.cpus;
+      use.gpus -= spec.gpus;
+    }
+  }
+  recount(state, job);
+}
+
+export function markDone(state: CoreState, job: JobState, task: number): void {
+  if (isDone(job, task)) return;
+  job.done[task >> 3] = (job.done[task >> 3] ?? 0) | (1 << (task & 7));
+  job.doneCount += 1;
+  recount(state, job);
+}
--- /dev/null
+++ b/src/core/keeping.ts
@@ -0,0 +1,53 @@
+/**
+ * Room kept free for classes that cannot wait for a boot: the head's reservation, turned to
+ * arrivals to come.
+ */
+import { isHurried } from './aims.js';
+import { allows, fits } from './room.js';
+import { onlyType, scarceClasses } from './scarce.js';
+import type { Site } from './sites.js';
+import type { CoreState, Demand, Now } from './state.js';
+
+/** So many usual gaps without an arrival mean that a class has ended for now. */
+export const ARRIVALS_OVER = 8;
+
+/** While no more machines can be had, room is kept for this share of the most tasks at once of late. */
+const KEPT_WHEN_SHORT = 0.6;
+
+/** How many tasks of a class room is to be kept for, beside those that are there. */
+function missingOf(state: CoreState, demand: Demand, now: Now): number {
+  const { spec, peak, arrivedAt, gap } = demand;
+  if (now.mono - arrivedAt > ARRIVALS_OVER * gap) return 0;
+  // Others wait for the same room then, and many of them will be late.
+  const short = [...state.refusedUntil.values()].some((until) => until > now.mono);
+  const share = short ? KEPT_WHEN_SHORT : 1;
+  return Math.ceil(share * peak) - (state.present.get(spec.jobClass) ?? 0);
+}
+
+/**
+ * Keeps room for tasks of hurried classes that are likely to come: up to the most that were
+ * there at once of late, on the machines with most images, for elsewhere each image would
+ * have to be fetched first. Now and then among all sites; in between, for what is missing
+ * still, among those on which something has changed.
+ */
+export function keepRoom(state: CoreState, now: Now, changed: Iterable<Site> | null): void {
+  if (changed === null) state.sites.letGoAll();
+  const hurried = [...state.demand.values()].filter(({ spec }) => isHurried(state, spec));
+  const missing = hurried.map((demand) => missingOf(state, demand, now) - state.sites.keptFor(demand.spec));
+  if (!missing.some((count) => count > 0)) return;
+  const only = scarceClasses(state);
+  const rich = [...(changed ?? state.sites.all)].sort(
+    (a, b) => b.machine.images.size - a.machine.images.size,
+  );
+  hurried.forEach(({ spec }, index) => {
+    const choosy = onlyType(state, spec) === null;
+    let left = missing[index] ?? 0;
+    for (const site of rich) {
+      if (left <= 0) break;
+      // What others can run on nothing else is not kept from them.
+      if (choosy && only.has(site.machine.type)) continue;
+      if (!allows(spec, site.machine.type, site.machine.zone, site.machine.spot)) continue;
+      for (; left > 0 && fits(spec, site.free); left -= 1) state.sites.keep(site, spec);
+    }
+  });
+}
--- a/src/core/ledger.ts
+++ b/src/core/ledger.ts
@@ -1,13 +1,12 @@
 /** Jobs and attempts: who may be where, what is done, and what of it is committed. */
-import { chunkKey, encodeChunk, encodeSmallChunk, endedKey, jobKey, TERM_KEY } from '../wire/records.js';
-import type { Condition, Write } from '../wire/state.js';
+import { chunkKey, encodeChunk, encodeSmallChunk, endedKey, jobKey, TERM_KEY } from './records.js';
 import type { CommitOutcome, Effect, LoadedChunk, Recheck } from './effects.js';
 import { log } from './log.js';
-import { finalNow, finalOf, isReady, joinPipeline, leavePipeline } from './pipelines.js';
+import { dropClaim, enterClaim, isComplete, markDone, recount } from './jobs.js';
+import { finalNow, finalOf, joinPipeline, leavePipeline } from './pipelines.js';
 import {
   isDone,
   isExitKept,
-  taskKey,
   type Chunk,
   type CommitInFlight,
   type CoreState,
@@ -19,7 +18,7 @@
   type Machine,
   type Now,
 } from './state.js';
-import type { ChunkRecord, Claim, FinalStage, JobSpec, Stamped } from './types.js';
+import type { ChunkRecord, Claim, Condition, FinalStage, JobSpec, Stamped, Write } from './types.js';
 
 export function addJob(state: CoreState, job: Stamped<JobSpec>, over: FinalStage | null = null): JobState {
   const known = state.jobs.get(job.value.id);
@@ -32,6 +31,10 @@
     readyAt: job.value.submittedAt,
     priority: job.value.priority,
     dueAt: Infinity,
+    waiting: 0,
+    present: 0,
+    running: 0,
+    queued: false,
     counted: false,
     done: new Uint8Array(Math.ceil(job.value.tasks / 8)),
     doneCount: 0,
@@ -48,6 +51,7 @@
   state.jobs.set(job.value.id, added);
   if (over !== null) state.unsaved.add(added);
   else joinPipeline(state, added);
+  recount(state, added);
   state.placeDirty = true;
   return added;
 }
@@ -73,26 +77,6 @@
   return claim.version <= chunkOf(state, claim.job, claim.task).committed;
 }
 
-/** The next task of a job that waits for a machine, or null. */
-export function nextTask(job: JobState): number | null {
-  for (;;) {
-    const again = job.again[0];
-    if (again !== undefined) {
-      if (!isDone(job, again) && !job.claims.has(again)) return again;
-      job.again.shift();
-    } else if (job.cursor < job.spec.tasks) {
-      if (!isDone(job, job.cursor) && !job.claims.has(job.cursor)) return job.cursor;
-      job.cursor += 1;
-    } else {
-      return null;
-    }
-  }
-}
-
-export function waitingTasks(job: JobState): number {
-  return job.over === null && isReady(job) ? job.spec.tasks - job.doneCount - job.claims.size : 0;
-}
-
 /** Puts a task on a machine. Nothing is sent before the claim is committed. */
 export function claimTask(
   state: CoreState,
@@ -120,18 +104,15 @@
     expectedEnd,
     unwanted: false,
   };
-  job.claims.set(task, claim);
-  machine.claims.set(taskKey(job.spec.id, task), claim);
+  enterClaim(state, claim, machine);
 }
 
 /** Takes a task off a machine. The caller holds the proof that it is gone from there. */
 export function releaseClaim(state: CoreState, claim: LiveClaim, done: boolean): Chunk {
   const { job, task } = claim;
-  const machine = state.machines.get(claim.machine);
-  machine?.claims.delete(taskKey(job.spec.id, task));
-  job.claims.delete(task);
+  dropClaim(state, claim);
   if (done) {
-    markDone(job, task);
+    markDone(state, job, task);
   } else if (!isDone(job, task)) {
     const at = job.again.findIndex((other) => other > task);
     job.again.splice(at < 0 ? job.again.length : at, 0, task);
@@ -140,15 +121,9 @@
   return touch(state, job, task);
 }
 
-export function markDone(job: JobState, task: number): void {
-  if (isDone(job, task)) return;
-  job.done[task >> 3] = (job.done[task >> 3] ?? 0) | (1 << (task & 7));
-  job.doneCount += 1;
-}
-
 /** Records a completion reported for an attempt the ledger has no claim for. */
 export function recordStrayDone(state: CoreState, job: JobState, task: number): Chunk {
-  markDone(job, task);
+  markDone(state, job, task);
   return touch(state, job, task);
 }
 
@@ -158,6 +133,7 @@
  */
 export function endJob(state: CoreState, job: JobState, stage: FinalStage, final: Final | null): void {
   job.over = stage;
+  recount(state, job);
   leavePipeline(state, job, final);
   state.unsaved.add(job);
   state.placeDirty = true;
@@ -283,7 +259,8 @@
 ): void {
   const bits = Buffer.from(record.done, 'base64');
   for (let at = 0; at < 8 * bits.length; at += 1) {
-    if (((bits[at >> 3] ?? 0) & (1 << (at & 7))) !== 0 && isNews(first + at)) markDone(job, first + at);
+    if (((bits[at >> 3] ?? 0) & (1 << (at & 7))) !== 0 && isNews(first + at))
+      markDone(state, job, first + at);
   }
   for (const [task, attempt] of Object.entries(record.attempts))
     if (isNews(Number(task))) job.attempts.set(Number(task), attempt);
@@ -304,8 +281,7 @@
       expectedEnd: now.mono - age + state.rules.policy.expectedRun(job.spec),
       unwanted: false,
     };
-    job.claims.set(task, claim);
-    machineOf(kept.machine).claims.set(taskKey(job.spec.id, task), claim);
+    enterClaim(state, claim, machineOf(kept.machine));
   }
 }
 
@@ -360,9 +336,6 @@
   state.layout = layout;
 }
 
-const isComplete = (job: JobState): boolean =>
-  job.over === null && job.spec.form !== 'service' && job.doneCount === job.spec.tasks;
-
 /** What a job's next write is for; the first is written first when not all fit. */
 const RANKS = ['start', 'end', 'exit', 'clean'] as const;
 type Rank = (typeof RANKS)[number];
--- a/src/core/pipelines.ts
+++ b/src/core/pipelines.ts
@@ -4,7 +4,7 @@
  * be withdrawn. Both are final, so what was once learned stays true. Jobs that need others
  * are indexed by those, so that an end costs no more than what it sets free.
  */
-import { expectedRun, startLatency } from './queue.js';
+import { expectedRun, isReady, recount, startLatency } from './jobs.js';
 import type { CoreState, Final, JobState, Now } from './state.js';
 import type { EndedRecord, FinalStage } from './types.js';
 
@@ -15,9 +15,6 @@
 /** The last task of an array ends later than the usual one. */
 const LAST_TASK = 1.3;
 
-/** Whether nothing that a job awaits is still to be done. */
-export const isReady = (job: JobState): boolean => job.waitsFor.size === 0;
-
 /** What the view held at its latest proof had been settled: what is learned now came after. */
 const sinceProof = (state: CoreState): number => state.leadership?.provenAt ?? 0;
 
@@ -40,6 +37,7 @@
   job.waitsFor.delete(id);
   job.readyAt = Math.max(job.readyAt, final.at);
   if (!isReady(job)) return;
+  recount(state, job);
   state.placeDirty = true;
   // At the next tick; 0 would say that there is no plan yet.
   if (state.planAt > 0) state.planAt = 1;
--- a/src/core/room.ts
+++ b/src/core/room.ts
@@ -1,16 +1,10 @@
 /** Room on machines, counted per resource, and which machines a job allows. */
 import type { JobState, Machine, Now } from './state.js';
-import type { JobSpec, MachineType } from './types.js';
+import type { JobSpec, MachineType, Need, Room } from './types.js';
 
-const EPSILON = 1e-6;
-
-export interface Room {
-  cpus: number;
-  gpus: number;
-  memoryGb: number;
-}
+export type { Need, Room };
 
-export type Need = Readonly<Room>;
+const EPSILON = 1e-6;
 
 export function fits(need: Need, room: Need): boolean {
   return (
@@ -41,9 +35,11 @@
 /** A copy of just the amounts, whatever else the object holds. */
 export const roomOf = ({ cpus, gpus, memoryGb }: Need): Room => ({ cpus, gpus, memoryGb });
 
+export const noRoom = (): Room => ({ cpus: 0, gpus: 0, memoryGb: 0 });
+
 export function freeRoom(machine: Machine, type: MachineType): Room {
   const free = roomOf(type);
-  for (const claim of machine.claims.values()) take(free, claim.job.spec);
+  take(free, machine.used);
   return free;
 }
 
--- a/src/core/state.ts
+++ b/src/core/state.ts
@@ -1,5 +1,6 @@
 /** The leader's whole knowledge, owned by one owner and changed only by `step`. */
-import type { Timing } from '../settings.js';
+import { Sites } from './sites.js';
+import type { Timing } from './timing.js';
 import type {
   ExitReason,
   FinalStage,
@@ -8,6 +9,7 @@
   MachineType,
   Priority,
   ReportedTask,
+  Room,
   TaskStage,
 } from './types.js';
 
@@ -27,16 +29,24 @@
 export interface Rules {
   readonly timing: Timing;
   readonly teams: ReadonlyMap<string, TeamLimits>;
-  /** Start aims by class, in milliseconds. */
-  readonly startWithin: ReadonlyMap<string, number>;
-  /** Multiples of the deadline that aims speak of, by class. */
-  readonly deadlineTimes: ReadonlyMap<string, readonly number[]>;
+  /** What the settings' objectives ask for, by class. */
+  readonly aims: ReadonlyMap<string, ClassAims>;
   /** How the versions before write, and this one until every controller reads what it would write. */
   readonly firstLayout: Layout;
   readonly listLag: number;
   readonly policy: PolicyFigures;
 }
 
+/** The aims of a class; any number of each kind, each list in ascending order. */
+export interface ClassAims {
+  /** Milliseconds from being ready within which a task is to start. */
+  readonly starts: readonly number[];
+  /** Multiples of the deadline by which a job is to be done. */
+  readonly deadlines: readonly number[];
+  /** Milliseconds from being ready within which a job is to be done. */
+  readonly finishes: readonly number[];
+}
+
 /** How run records are cut, and how much is written at once. */
 export interface Layout {
   /** Width as it stands in the keys of chunks; null: the first versions' keys, which do not say. */
@@ -125,6 +135,13 @@
   priority: Priority;
   /** Time of day by which jobs that need it want it done; Infinity: none does. */
   dueAt: number;
+  /** Tasks of it that wait for a machine, and those out or waiting, as last counted. */
+  waiting: number;
+  present: number;
+  /** Tasks that their workers report as running. */
+  running: number;
+  /** It stands in the order of the queue. */
+  queued: boolean;
   /** Its arrival, or becoming ready, has been counted in the demand. */
   counted: boolean;
   readonly done: Uint8Array;
@@ -143,6 +160,19 @@
   readonly failedOn: Set<string>;
 }
 
+/** Where a job stands within its priority: by group, then by `key`. */
+export interface Standing {
+  readonly job: JobState;
+  readonly group: number;
+  readonly key: number;
+}
+
+export interface TeamUse {
+  cpus: number;
+  gpus: number;
+  tasks: number;
+}
+
 export interface Exit {
   readonly job: JobState | null;
   readonly chunk: Chunk | null;
@@ -171,6 +201,10 @@
   takenAt: number | null;
   listed: ListedMachine['stage'] | null;
   readonly claims: Map<string, LiveClaim>;
+  /** Room that its claims take. */
+  readonly used: Room;
+  /** Its place in the order of becoming known. */
+  readonly order: number;
   readonly exits: Map<string, Exit>;
   reported: readonly ReportedTask[];
   /** Images it is believed to hold, most recently used last. */
@@ -228,6 +262,21 @@
   readonly held: Set<Machine>;
   /** Jobs of which something may have to be written, those waiting longest first. */
   readonly unsaved: Set<JobState>;
+  /** Jobs with tasks that wait for a machine, and those that came to have some since the last look. */
+  readonly waiting: Set<JobState>;
+  readonly joined: JobState[];
+  /** The order in which waiting jobs are served, as of the latest tick, with those that joined since. */
+  queue: Standing[];
+  /** Tasks out or waiting, by class. */
+  readonly present: Map<string, number>;
+  /** What every team's tasks use that are not proven gone. */
+  readonly use: Map<string, TeamUse>;
+  /** Machines that hold an image, by image. */
+  readonly holders: Map<string, Set<Machine>>;
+  /** Machines of which something has changed that placing goes by. */
+  readonly touched: Set<Machine>;
+  readonly sites: Sites;
+  nextMachine: number;
   /** Machines given back, by name, oldest first; bounded. */
   readonly gone: Set<string>;
   readonly rentals: Map<string, Rental>;
@@ -305,6 +354,15 @@
     machines: new Map(),
     held: new Set(),
     unsaved: new Set(),
+    waiting: new Set(),
+    joined: [],
+    queue: [],
+    present: new Map(),
+    use: new Map(),
+    holders: new Map(),
+    touched: new Set(),
+    sites: new Sites(),
+    nextMachine: 0,
     gone: new Set(),
     rentals: new Map(),
     refusedUntil: new Map(),
@@ -338,6 +396,14 @@
   state.machines.clear();
   state.held.clear();
   state.unsaved.clear();
+  state.waiting.clear();
+  state.joined.length = 0;
+  state.queue = [];
+  state.present.clear();
+  state.use.clear();
+  state.holders.clear();
+  state.touched.clear();
+  state.sites.clear();
   state.gone.clear();
   state.rentals.clear();
   state.refusedUntil.clear();
--- a/src/core/step.ts
+++ b/src/core/step.ts
@@ -17,6 +17,7 @@
 import { addJob, endJob, loadChunks, nextCommit, settleCommit, settleRecheck } from './ledger.js';
 import { log } from './log.js';
 import { nextQuestion, settleQuestion } from './pipelines.js';
+import { sortQueue } from './queue.js';
 import { forgetLeadership, type CoreState, type Machine, type Now } from './state.js';
 
 function resign(state: CoreState, reason: string, effects: Effect[]): void {
@@ -166,6 +167,7 @@
       break;
     case 'catalog':
       state.types = new Map(command.types.map((type) => [type.name, type]));
+      for (const machine of state.machines.values()) state.touched.add(machine);
       state.placeDirty = true;
       break;
     case 'listed':
@@ -209,7 +211,8 @@
   const placing = now.mono >= lead.since + state.rules.policy.placingWait;
   if (placing && (state.placeDirty || ticked)) {
     state.placeDirty = false;
-    place(state, now);
+    if (ticked) sortQueue(state, now);
+    place(state, now, ticked);
   }
   const commit = nextCommit(state, now);
   if (commit !== null) effects.push(commit);
--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -45,6 +45,15 @@
   readonly zones: readonly string[];
 }
 
+/** Amounts of a machine: free, taken or asked for. */
+export interface Room {
+  cpus: number;
+  gpus: number;
+  memoryGb: number;
+}
+
+export type Need = Readonly<Room>;
+
 export type TaskStage = 'fetching' | 'running' | 'saving' | 'exited';
 export type ExitReason = 'done' | 'stopped' | 'error' | 'no_room' | 'busy' | 'unknown';
 
@@ -127,3 +136,18 @@
   readonly value: T;
   readonly stamp: number;
 }
+
+/** What a transaction asks of the state service: all of it, or nothing. */
+export interface Condition {
+  readonly key: string;
+  /** 0: the key must not exist. */
+  readonly stamp: number;
+}
+
+export type Write =
+  { readonly put: string; readonly value: unknown; readonly lease?: number } | { readonly remove: string };
+
+export interface Transaction {
+  readonly when: readonly Condition[];
+  readonly apply: readonly Write[];
+}
--- a/src/deputy.ts
+++ b/src/deputy.ts
@@ -11,7 +11,7 @@
 import type { Clock } from './clock.js';
 import type { Report, WorkerCommand } from './core/types.js';
 import type { Timing } from './settings.js';
-import { deputyKey, JOB_PREFIX, jobOfKey, packMachines, type DeputyRecord } from './wire/records.js';
+import { deputyKey, JOB_PREFIX, jobOfKey, packMachines, type DeputyRecord } from './core/records.js';
 
 export class Deputy {
   readonly #live = new Set<string>();
--- a/src/describe.ts
+++ b/src/describe.ts
@@ -1,7 +1,6 @@
 /** The operators' view of a controller: one object, bounded in size. */
 import { freeRoom } from './core/room.js';
-import { waitingTasks } from './core/ledger.js';
-import { isReady } from './core/pipelines.js';
+import { isReady, waitingTasks } from './core/jobs.js';
 import { waitingJobs } from './core/queue.js';
 import type { CoreState, Machine, Now } from './core/state.js';
 
--- a/src/election.ts
+++ b/src/election.ts
@@ -7,7 +7,7 @@
 import type { Clock } from './clock.js';
 import type { StateService } from './adapters/state.js';
 import type { Timing } from './settings.js';
-import { decodeLeader, decodeTerm, LEADER_KEY, TERM_KEY, type LeaderRecord } from './wire/records.js';
+import { decodeLeader, decodeTerm, LEADER_KEY, TERM_KEY, type LeaderRecord } from './core/records.js';
 
 export interface Elected {
   readonly term: number;
--- a/src/node.ts
+++ b/src/node.ts
@@ -6,7 +6,7 @@
 import type { Clock } from './clock.js';
 import type { Effect, LoadedChunk, Recheck } from './core/effects.js';
 import { settledUntil } from './core/pipelines.js';
-import { createState, type PolicyFigures, type Rules } from './core/state.js';
+import { createState, type PolicyFigures } from './core/state.js';
 import type { EndedRecord, JobSpec, Report, Stamped } from './core/types.js';
 import { Deputy } from './deputy.js';
 import { describeLead } from './describe.js';
@@ -14,6 +14,7 @@
 import { Latencies } from './latency.js';
 import type { Log } from './logging.js';
 import { Owner } from './owner.js';
+import { rulesFor } from './rules.js';
 import { lastingLimits, timing, type PlatformSettings, type Timing } from './settings.js';
 import { firstLayout, formatRecord, lastingLayout, Upgrade } from './upgrade.js';
 import type { JobCount, PeerStatus } from './wire/peers.js';
@@ -36,40 +37,13 @@
   TERM_KEY,
   type ClassMemory,
   type FormatRecord,
-} from './wire/records.js';
+} from './core/records.js';
 import type { Entry } from './wire/state.js';
 import { encodeRedirect, encodeReply, parseReport } from './wire/workers.js';
 
 const MOST_COUNTS = 500;
 const MOST_REDIRECTED = 5000;
 
-export function rulesFor(settings: PlatformSettings, policy: PolicyFigures): Rules {
-  const { cluster } = settings;
-  const startWithin = new Map<string, number>();
-  const deadlineTimes = new Map<string, number[]>();
-  for (const aim of cluster.objectives) {
-    if (aim.kind === 'wait' && aim.class !== undefined && aim.within_s !== undefined) {
-      startWithin.set(aim.class, aim.within_s * 1000);
-    } else if (aim.kind === 'deadline' && aim.class !== undefined) {
-      deadlineTimes.set(aim.class, [...(deadlineTimes.get(aim.class) ?? []), aim.times ?? 1]);
-    }
-  }
-  return {
-    timing: timing(settings),
-    teams: new Map(
-      cluster.teams.map((team) => [
-        team.name,
-        { cpus: team.cpus, cpusMax: team.cpus_max, gpus: team.gpus, gpusMax: team.gpus_max },
-      ]),
-    ),
-    startWithin,
-    deadlineTimes,
-    firstLayout: firstLayout(settings),
-    listLag: cluster.cloud.list_lag_s * 1000,
-    policy,
-  };
-}
-
 function decodeJobs(entries: readonly Entry[]): Stamped<JobSpec>[] {
   const jobs: Stamped<JobSpec>[] = [];
   for (const { value, stamp } of entries) {
@@ -255,9 +229,7 @@
   #countOf(id: string): { done: number; running: number } | null {
     const job = this.#owner.state.jobs.get(id);
     if (this.#owner.state.leadership === null || job === undefined) return this.#counts.get(id) ?? null;
-    let running = 0;
-    for (const claim of job.claims.values()) if (claim.stage === 'running') running += 1;
-    return { done: job.doneCount, running };
+    return { done: job.doneCount, running: job.running };
   }
 
   /** Milliseconds since the state service last answered this node. */
--- a/src/wire/cloud.ts
+++ b/src/wire/cloud.ts
@@ -1,6 +1,6 @@
 /** The cloud's interface. */
 import type { ListedMachine, MachineType } from '../core/types.js';
-import { asObject, isAmount, isFlag, isText } from './json.js';
+import { asObject, isAmount, isFlag, isText } from '../core/values.js';
 
 function parseType(body: unknown): MachineType | null {
   const raw = asObject(body);
--- a/src/wire/state.ts
+++ b/src/wire/state.ts
@@ -1,5 +1,6 @@
 /** The state service's interface. */
-import { asObject, isCount, isText } from './json.js';
+import type { Transaction } from '../core/types.js';
+import { asObject, isCount, isText } from '../core/values.js';
 
 export interface Entry {
   readonly key: string;
@@ -14,20 +15,6 @@
   readonly stamp: number;
 }
 
-export interface Condition {
-  readonly key: string;
-  /** 0: the key must not exist. */
-  readonly stamp: number;
-}
-
-export type Write =
-  { readonly put: string; readonly value: unknown; readonly lease?: number } | { readonly remove: string };
-
-export interface Transaction {
-  readonly when: readonly Condition[];
-  readonly apply: readonly Write[];
-}
-
 export function encodeTransaction(txn: Transaction): string {
   return JSON.stringify({
     when: txn.when,
--- a/src/wire/users.ts
+++ b/src/wire/users.ts
@@ -1,6 +1,6 @@
 /** The users' interface: job descriptions in, answers out. */
 import type { FinalStage, JobForm, JobSpec, Priority } from '../core/types.js';
-import { asObject, isAmount, isCount, isFlag, isText } from './json.js';
+import { asObject, isAmount, isCount, isFlag, isText } from '../core/values.js';
 
 export const JOB_ID = /^req-\d{1,18}$/;
 export const MAX_TASKS = 100_000;
--- a/src/wire/workers.ts
+++ b/src/wire/workers.ts
@@ -1,6 +1,6 @@
 /** The workers' interface: reports in, commands out. */
 import type { ExitReason, Report, ReportedTask, TaskStage, WorkerCommand } from '../core/types.js';
-import { asObject, isCount, isFlag, isText, isAmount } from './json.js';
+import { asObject, isCount, isFlag, isText, isAmount } from '../core/values.js';
 
 const STAGES = new Map<unknown, TaskStage>([
   ['pulling', 'fetching'],
--- a/test/capacity.test.ts
+++ b/test/capacity.test.ts
@@ -2,7 +2,7 @@
 import fc from 'fast-check';
 import { expect, test } from 'vitest';
 import { earliest, Openings, type Planned } from '../src/core/capacity.js';
-import { collectRoom, findShadow, type Site } from '../src/core/easy.js';
+import { collectRoom, findShadow } from '../src/core/easy.js';
 import { claimTask, addJob } from '../src/core/ledger.js';
 import { machineNamed } from '../src/core/fleet.js';
 import { freeRoom, fits } from '../src/core/room.js';
@@ -37,6 +37,7 @@
             ends: kept.map((end) => ({ at: end.at, room: end.need })),
             busy: kept.length > 0,
             used: false,
+            version: 0,
           };
         });
         const openings = new Openings([...planned], of);
@@ -44,10 +45,10 @@
           const starts = planned.map((one) => earliest(one, of));
           const soonest = Math.min(Infinity, ...starts);
           const first = openings.first();
-          expect(openings.startAt(first)).toBe(soonest);
-          if (soonest === Infinity) break;
-          expect(first).toBe(starts.indexOf(soonest));
-          openings.occupy(first, soonest + 5000);
+          expect(first?.at ?? Infinity).toBe(soonest);
+          if (first === null) break;
+          expect(first.index).toBe(starts.indexOf(soonest));
+          openings.occupy(first.index, first.at, soonest + 5000);
         }
       },
     ),
@@ -62,14 +63,14 @@
       const bench = new CoreBench();
       const { state } = bench;
       const now = bench.time();
-      const sites = all.map((tasks, i): Site => {
+      const sites = all.map((tasks, i) => {
         const machine = machineNamed(state, `m${i}`, now);
         tasks.forEach(({ need: taken, at: end }, k) => {
           if (!fits(taken, freeRoom(machine, EIGHT))) return;
           const spec = job(`req-${i}-${k}`, 1, taken.cpus, 1, { memoryGb: taken.memoryGb });
           claimTask(state, addJob(state, { value: spec, stamp: 1 }), 0, machine, now, end);
         });
-        return { machine, type: EIGHT, free: freeRoom(machine, EIGHT), busyUntil: now.mono };
+        return state.sites.update(machine, EIGHT, (claim) => claim.expectedEnd);
       });
       const found = findShadow(state, sites, of, 1, now);
       const plain = collectRoom(state, sites, of, 1, now);
--- a/test/easy.test.ts
+++ b/test/easy.test.ts
@@ -1,9 +1,17 @@
 /** The paper's rule, as traces kept beside: commands in (>), effects out (<). */
 import { expect, test } from 'vitest';
 import { mayBackfill } from '../src/core/easy.js';
-import { isPressed, waitingJobs } from '../src/core/queue.js';
+import { isPressed } from '../src/core/aims.js';
+import { waitingJobs } from '../src/core/queue.js';
+import type { ClassAims } from '../src/core/state.js';
 import { CoreBench, EIGHT, job, report, task } from './standins/core.js';
 
+/** From now on a class has a start aim. */
+function startWithin(bench: CoreBench, jobClass: string, ms: number): void {
+  const aims = bench.state.rules.aims as Map<string, ClassAims>;
+  aims.set(jobClass, { starts: [ms], deadlines: [], finishes: [] });
+}
+
 const room = (cpus: number) => ({ cpus, gpus: 0, memoryGb: cpus });
 
 test('a task that ends by the shadow time may pass the head whatever it takes', () => {
@@ -163,7 +171,7 @@
 // second that a start needs to reach its machine: all were late, where most could be in time.
 test('what can no longer start in time, its way to the machine counted, stands behind what can', () => {
   const bench = new CoreBench();
-  (bench.state.rules.startWithin as Map<string, number>).set('class', 5000);
+  startWithin(bench, 'class', 5000);
   const { longestReport } = bench.state.rules.timing;
   const old = job('req-1', 1, 8, 50, { submittedAt: bench.now - 5000 + longestReport });
   const fresh = job('req-2', 1, 8, 50, { submittedAt: bench.now - 1000 });
@@ -176,7 +184,7 @@
 // missed its deadline beside free room.
 test('a job that missed its start aim is pressed again when its deadline comes near', () => {
   const bench = new CoreBench();
-  (bench.state.rules.startWithin as Map<string, number>).set('class', 5000);
+  startWithin(bench, 'class', 5000);
   const pressedAt = (ageS: number): boolean => {
     const spec = job(`req-${ageS}`, 1, 8, 10, { deadlineS: 30, submittedAt: bench.now - ageS * 1000 });
     bench.add(spec);
@@ -207,7 +215,7 @@
 // its turn soon, but on a machine without its image, and was late by the fetch.
 test('room is kept for hurried classes, on the machines with most images', () => {
   const bench = new CoreBench();
-  (bench.state.rules.startWithin as Map<string, number>).set('rush', 3000);
+  startWithin(bench, 'rush', 3000);
   const rush = job('req-9', 1, 2, 20, { jobClass: 'rush', priority: 1 });
   bench.state.demand.set('rush', {
     spec: rush,
@@ -220,6 +228,7 @@
   bench.hear(report('m', 1));
   bench.hear(report('n', 1));
   bench.state.machines.get('n')?.images.set('img', 1);
+  bench.do({ kind: 'tick' });
   bench.add(job('req-1', 8, 2, 50));
   const onM = CoreBench.starts(bench.hear(report('m', 2)));
   const onN = CoreBench.starts(bench.hear(report('n', 2)));
@@ -235,7 +244,7 @@
   // Large machines stood half empty for small rush tasks while large jobs waited.
   const large = { ...EIGHT, name: 'large', cpus: 64, memoryGb: 256 };
   const bench = new CoreBench(0, [EIGHT, large]);
-  (bench.state.rules.startWithin as Map<string, number>).set('rush', 3000);
+  startWithin(bench, 'rush', 3000);
   const came = { peak: 4, arrivals: [], at: bench.now, arrivedAt: bench.now, gap: 60_000 };
   bench.state.demand.set('rush', { ...came, spec: job('req-9', 1, 2, 20, { jobClass: 'rush' }) });
   bench.state.demand.set('mix', { ...came, spec: job('req-8', 1, 32, 20, { jobClass: 'mix' }) });
--- a/test/guards.test.ts
+++ b/test/guards.test.ts
@@ -1,6 +1,6 @@
 /** One test for each guard that docs/safety.md argues with; each fails when its guard is taken out. */
 import { expect, test } from 'vitest';
-import type { Transaction } from '../src/wire/state.js';
+import type { Transaction } from '../src/core/types.js';
 import type { Command, Effect } from '../src/core/effects.js';
 import { VirtualClock } from './standins/clock.js';
 import { CoreBench, job, report, task, TERM } from './standins/core.js';
--- a/test/standins/checker.ts
+++ b/test/standins/checker.ts
@@ -2,7 +2,7 @@
  * Every rule of the protocol, checked from what users are told and what machines do.
  * It knows nothing of how the service works.
  */
-import { asObject } from '../../src/wire/json.js';
+import { asObject } from '../../src/core/values.js';
 
 export interface SubmittedJob {
   readonly id: string;
--- a/test/standins/cloud.ts
+++ b/test/standins/cloud.ts
@@ -2,7 +2,7 @@
 import type { Cloud, RentalOutcome } from '../../src/adapters/cloud.js';
 import type { Workers } from '../../src/adapters/workers.js';
 import type { ListedMachine, MachineType, Report, WorkerCommand } from '../../src/core/types.js';
-import { asObject } from '../../src/wire/json.js';
+import { asObject } from '../../src/core/values.js';
 import { encodeDirect, parseReport } from '../../src/wire/workers.js';
 import type { Checker } from './checker.js';
 import type { Network } from './network.js';
--- a/test/standins/core.ts
+++ b/test/standins/core.ts
@@ -4,7 +4,7 @@
 import { createState, type CoreState } from '../../src/core/state.js';
 import { step } from '../../src/core/step.js';
 import type { JobSpec, MachineType, Report, ReportedTask } from '../../src/core/types.js';
-import { rulesFor } from '../../src/node.js';
+import { rulesFor } from '../../src/rules.js';
 import { createPolicy } from '../../src/policy.js';
 import { testSettings } from './world.js';
 
--- a/test/standins/state.ts
+++ b/test/standins/state.ts
@@ -1,8 +1,9 @@
 /** The state service, as PROTOCOL tells of it. */
 import type { Commit, Read, StateService, Watch } from '../../src/adapters/state.js';
 import type { StateLimits } from '../../src/settings.js';
-import { asObject } from '../../src/wire/json.js';
-import type { Change, Entry, Transaction } from '../../src/wire/state.js';
+import { asObject } from '../../src/core/values.js';
+import type { Transaction } from '../../src/core/types.js';
+import type { Change, Entry } from '../../src/wire/state.js';
 import type { Network } from './network.js';
 
 interface Kept {
--- a/test/upgrade.test.ts
+++ b/test/upgrade.test.ts
@@ -16,7 +16,7 @@
   packMachines,
   packMemory,
   parseChunkKey,
-} from '../src/wire/records.js';
+} from '../src/core/records.js';
 import { CoreBench, job, report, task, TERM } from './standins/core.js';
 import { seeded, testSettings, TIGHT, World } from './standins/world.js';
 
