Shadow times in order, writes by rank, reports answered by what happened

Cause: at 6,000 machines the head's shadow time was two fifths of all work, drafting walked over every unsaved job, and each batch looked at every held report. Change: shadows by need in a heap, a machine's worked out anew when it changes or times move on; unsaved jobs by what their next write is for, exits in the order of waiting; a held report is looked at when a commit settles, at a tick, or once it has waited.

--- a/src/core/easy.ts
+++ b/src/core/easy.ts
@@ -9,7 +9,7 @@
 import { keepRoom } from './keeping.js';
 import { claimTask } from './ledger.js';
 import { currentQueue } from './queue.js';
-import { allows, avoids, fetchTime, fits, give, sum, take } from './room.js';
+import { allows, avoids, fetchTime, fits, give, roomOf, sum, take } from './room.js';
 import { onlyType, scarceTypes } from './scarce.js';
 import { tightest, type Hold, type Shadow, type Site } from './sites.js';
 import type { CoreState, Head, JobState, LiveClaim, Machine, Now, TeamUse } from './state.js';
@@ -68,17 +68,6 @@
  * ends, collecting the room they free, until enough tasks of the job fit. Null when
  * that never happens.
  */
-export function findShadow(
-  state: CoreState,
-  sites: readonly Site[],
-  need: Need,
-  count: number,
-  now: Now,
-): Reservation {
-  return count === 1 ? shadowOfOne(state, sites, need, now) : collectRoom(state, sites, need, count, now);
-}
-
-/** The plain walk over all ends, for any number of tasks. */
 export function collectRoom(
   state: CoreState,
   sites: readonly Site[],
@@ -125,57 +114,45 @@
   return { at, holds };
 }
 
-/**
- * The same for a single task, which needs just one machine: each is walked by itself to the
- * end at which the task fits. What was found on a machine holds until something changes on
- * it, or times have moved on.
- */
-function shadowOfOne(state: CoreState, sites: readonly Site[], need: Need, now: Now): Reservation {
-  let best: Site | null = null;
-  let found: Shadow | null = null;
-  for (const site of sites) {
-    const shadow = shadowOn(state, site, need, now);
-    if (shadow.at >= (found?.at ?? Infinity)) continue;
-    best = site;
-    found = shadow;
-    if (shadow.at <= now.mono) break;
-  }
-  if (best === null || found === null) return null;
-  return { at: found.at, holds: new Map([[best, holdOf(found, need)]]) };
-}
-
-function holdOf(shadow: Shadow, need: Need): Hold {
-  const extra = { ...shadow.room };
+function holdOf({ at, room }: Shadow, need: Need): Hold {
+  const extra = { ...room };
   take(extra, need);
-  return { shadow: shadow.at, extra };
+  return { shadow: at, extra };
 }
 
 /** When one task that needs so much would fit a machine, and what is free there then. */
-function shadowOn(state: CoreState, site: Site, need: Need, now: Now): Shadow {
-  const { version } = site;
-  const { round } = state.sites;
-  const known = site.shadow;
-  if (known !== null && known.version === version && known.round === round && known.need === need)
-    return known;
-  let at = Infinity;
-  const room = { ...site.free };
-  if (fits(need, room)) at = now.mono;
-  else if (fits(need, site.type)) {
-    const ends: { at: number; claim: LiveClaim }[] = [];
-    for (const claim of site.machine.claims.values()) {
-      const end = expectedEnd(state, claim, now);
-      if (end < Infinity) ends.push({ at: end, claim });
-    }
-    ends.sort((a, b) => a.at - b.at);
-    for (const end of ends) {
-      give(room, end.claim.job.spec);
-      if (!fits(need, room)) continue;
-      at = end.at;
-      break;
-    }
+export function shadowOn(state: CoreState, site: Site, need: Need, now: Now): Shadow {
+  const room = roomOf(site.free);
+  if (fits(need, room)) return { at: now.mono, room };
+  if (!fits(need, site.type)) return { at: Infinity, room };
+  const ends: { at: number; claim: LiveClaim }[] = [];
+  for (const claim of site.machine.claims.values()) {
+    const end = expectedEnd(state, claim, now);
+    if (end < Infinity) ends.push({ at: end, claim });
   }
-  site.shadow = { need, version, round, at, room };
-  return site.shadow;
+  ends.sort((x, y) => x.at - y.at);
+  for (const { at, claim } of ends) {
+    give(room, claim.job.spec);
+    if (fits(need, room)) return { at, room };
+  }
+  return { at: Infinity, room };
+}
+
+/**
+ * The shadow time of a single task, which needs just one machine: each is walked by itself to
+ * the end at which the task fits. The index keeps them in order; only machines on which
+ * something has changed are walked again, and all of them once times have moved on.
+ */
+export function earliestShadow(
+  state: CoreState,
+  need: Need,
+  now: Now,
+  able: (site: Site) => boolean,
+): Reservation {
+  const found = state.sites.shadows(need, (site) => shadowOn(state, site, need, now)).first(able);
+  return found === null
+    ? null
+    : { at: found.shadow.at, holds: new Map([[found.site, holdOf(found.shadow, need)]]) };
 }
 
 /** The paper's two tests, on a machine on which room is held. */
@@ -347,10 +324,11 @@
 }
 
 function occupy(pass: Pass, job: JobState, site: Site, end: number): void {
+  const { state } = pass;
   const { spec } = job;
   // What was kept for tasks like it is its own first.
   if (!fits(spec, site.free)) {
-    pass.state.sites.used(spec);
+    state.sites.used(spec);
     const free = sum(site.free, site.kept);
     take(free, spec);
     const kept = { cpus: 0, gpus: 0, memoryGb: 0 };
@@ -362,7 +340,7 @@
     Object.assign(site.free, free);
   } else take(site.free, spec);
   site.busyUntil = Math.max(site.busyUntil, end);
-  site.version += 1;
+  state.sites.changed(site);
   for (const hold of [pass.head.get(site), pass.scarce.get(site)]) {
     if (hold !== undefined && end > hold.shadow) take(hold.extra, spec);
   }
@@ -401,23 +379,24 @@
   const open = zoneRule(state, job);
   // A head that keeps off a machine must not reserve it either: nobody could use it then.
   const off = yields(pass, job) ? pass.scarce : new Map<Site, Hold>();
-  const able: Site[] = [];
-  for (const site of state.sites.all) {
+  const able = (site: Site): boolean => {
     const { machine } = site;
-    if (
+    return (
       !off.has(site) &&
       isUsable(state, machine, now) &&
       allows(spec, machine.type, machine.zone, machine.spot) &&
       !avoids(job, machine.name) &&
       open(machine.zone)
-    )
-      able.push(site);
-  }
-  if (!spec.oneZone) return findShadow(state, able, spec, together(job), now);
+    );
+  };
+  const count = together(job);
+  if (count === 1) return earliestShadow(state, spec, now, able);
+  const sites = [...state.sites.all].filter(able);
+  if (!spec.oneZone) return collectRoom(state, sites, spec, count, now);
   let best: Reservation = null;
-  for (const zone of new Set(able.map(({ machine }) => machine.zone))) {
-    const within = able.filter(({ machine }) => machine.zone === zone);
-    const found = findShadow(state, within, spec, together(job), now);
+  for (const zone of new Set(sites.map(({ machine }) => machine.zone))) {
+    const within = sites.filter(({ machine }) => machine.zone === zone);
+    const found = collectRoom(state, within, spec, count, now);
     if (found !== null && (best === null || found.at < best.at)) best = found;
   }
   return best;
@@ -458,7 +437,7 @@
   for (const machine of state.touched) refresh(machine);
   state.touched.clear();
   if (!all) return changed;
-  state.sites.round += 1;
+  state.sites.forgetShadows();
   for (const machine of state.machines.values()) refresh(machine);
   return null;
 }
@@ -466,12 +445,12 @@
 /** Room on the machines of scarce types, held for the first job that needs them. */
 function holdScarce(state: CoreState, jobs: ReadonlyMap<string, JobState>, now: Now): Map<Site, Hold> {
   const held = new Map<Site, Hold>();
-  if (jobs.size === 0) return held;
-  for (const site of state.sites.all) {
-    const job = jobs.get(site.machine.type);
-    if (job === undefined) continue;
-    const shadow = shadowOn(state, site, job.spec, now);
-    if (shadow.at < Infinity) held.set(site, holdOf(shadow, job.spec));
+  for (const [type, { spec }] of jobs) {
+    const shadows = state.sites.shadows(spec, (site) => shadowOn(state, site, spec, now));
+    for (const site of state.sites.ofType(type)) {
+      const shadow = shadows.of(site);
+      if (shadow.at < Infinity) held.set(site, holdOf(shadow, spec));
+    }
   }
   return held;
 }
@@ -514,9 +493,10 @@
 function placeJob(pass: Pass, job: JobState): boolean {
   const { state, now } = pass;
   const { spec } = job;
+  const lacks = pass.nowhere.filter(({ need }) => fits(need, spec));
+  if (lacks.some(({ whole }) => whole)) return false;
   const wish = wishOf(pass, job);
-  const hopeless = pass.nowhere.some(({ need, whole }) => fits(need, spec) && (whole || !wish.whole));
-  if (hopeless) return false;
+  if (lacks.length > 0 && !wish.whole) return false;
   const claim = (site: Site, end: number): void => {
     const task = nextTask(job);
     if (task === null) return;
--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -56,6 +56,7 @@
 export function hold(state: CoreState, machine: Machine, reply: number, now: Now): void {
   machine.held = { reply, since: now.mono };
   state.held.add(machine);
+  state.answerable.push(machine);
 }
 
 /** The report that waits for an answer, which the caller gives now; null if there is none. */
--- a/src/core/ledger.ts
+++ b/src/core/ledger.ts
@@ -18,6 +18,7 @@
   type Machine,
   type Now,
 } from './state.js';
+import { delist, enlist, hasUnsaved, holdsStart, toWrite } from './unsaved.js';
 import type { ChunkRecord, Claim, Condition, FinalStage, JobSpec, Stamped, Write } from './types.js';
 
 export function addJob(state: CoreState, job: Stamped<JobSpec>, over: FinalStage | null = null): JobState {
@@ -34,6 +35,8 @@
     waiting: 0,
     present: 0,
     running: 0,
+    rank: null,
+    exitsSince: 0,
     queued: false,
     counted: false,
     done: new Uint8Array(Math.ceil(job.value.tasks / 8)),
@@ -49,7 +52,7 @@
     failedOn: new Set(),
   };
   state.jobs.set(job.value.id, added);
-  if (over !== null) state.unsaved.add(added);
+  if (over !== null) enlist(state, added);
   else joinPipeline(state, added);
   recount(state, added);
   state.placeDirty = true;
@@ -69,7 +72,8 @@
 function touch(state: CoreState, job: JobState, task: number): Chunk {
   const chunk = chunkOf(state, job, task);
   chunk.version += 1;
-  state.unsaved.add(job);
+  chunk.waitsFrom ??= state.mono;
+  enlist(state, job);
   return chunk;
 }
 
@@ -90,6 +94,7 @@
   job.attempts.set(task, attempt);
   const chunk = touch(state, job, task);
   chunk.claimed = chunk.version;
+  enlist(state, job);
   const claim: LiveClaim = {
     job,
     task,
@@ -135,7 +140,7 @@
   job.over = stage;
   recount(state, job);
   leavePipeline(state, job, final);
-  state.unsaved.add(job);
+  enlist(state, job);
   state.placeDirty = true;
 }
 
@@ -317,9 +322,10 @@
         const into = touch(state, job, claim.task);
         into.claimed = into.version;
         claim.version = into.version;
+        enlist(state, job);
       }
     }
-    if (job.older.size > 0) state.unsaved.add(job);
+    if (job.older.size > 0) enlist(state, job);
     state.layout = before;
   }
   for (const machine of state.machines.values()) {
@@ -336,13 +342,6 @@
   state.layout = layout;
 }
 
-/** What a job's next write is for; the first is written first when not all fit. */
-const RANKS = ['start', 'end', 'exit', 'clean'] as const;
-type Rank = (typeof RANKS)[number];
-
-/** Whether a chunk holds a claim whose start waits for its commit. */
-const holdsStart = (chunk: Chunk): boolean => chunk.claimed > chunk.committed;
-
 /**
  * Whether a chunk is to be written now. Exits can wait a little, for others of the job to
  * share their write: until then the worker keeps them in its reports, and the end of the
@@ -352,23 +351,7 @@
   if (chunk.stamp === null || chunk.version === chunk.committed) return false;
   if (chunk.blockedUntil > now.mono) return false;
   if (holdsStart(chunk)) return true;
-  chunk.waitsFrom ??= now.mono;
-  return now.mono - chunk.waitsFrom >= state.rules.timing.exitHold;
-}
-
-function rankOf(state: CoreState, job: JobState): Rank {
-  if (job.over !== null) return 'clean';
-  if (isComplete(job) || state.doomed.has(job)) return 'end';
-  for (const chunk of job.chunks.values()) if (holdsStart(chunk)) return 'start';
-  return 'exit';
-}
-
-/** Jobs that have something to write, in the order in which it is written. */
-function toWrite(state: CoreState): JobState[] {
-  const byRank = new Map<Rank, JobState[]>(RANKS.map((rank) => [rank, []]));
-  for (const job of state.unsaved) byRank.get(rankOf(state, job))?.push(job);
-  byRank.get('start')?.sort((a, b) => a.priority - b.priority);
-  return RANKS.flatMap((rank) => byRank.get(rank) ?? []);
+  return now.mono - (chunk.waitsFrom ?? now.mono) >= state.rules.timing.exitHold;
 }
 
 interface Draft {
@@ -540,7 +523,7 @@
     adoptLayout(state, state.adopting);
     state.adopting = null;
   }
-  if (state.unsaved.size === 0) return null;
+  if (!hasUnsaved(state)) return null;
   const most = allowance(state, now);
   if (most === 0) return null;
   const draft: Draft = {
@@ -558,7 +541,7 @@
     if (job.over !== null) draftCleaning(state, draft, job, most);
     else if (isComplete(job) || state.doomed.has(job)) draftEnding(state, draft, job, most, now);
     else draftChunks(state, draft, job, most, now);
-    if (isSaved(state, job)) state.unsaved.delete(job);
+    if (isSaved(state, job)) delist(state, job);
     if (state.lone && draft.apply.length > 0) break;
   }
   const { when, apply, chunks, ending, withdrawing, older } = draft;
@@ -607,7 +590,8 @@
     for (const { job, key } of commit.older) job.older.delete(key);
     for (const job of commit.ending) endJob(state, job, 'done', finalNow('done', now));
     for (const job of commit.withdrawing) endJob(state, job, 'withdrawn', finalNow('withdrawn', now));
-    for (const { job } of [...commit.chunks, ...commit.older]) if (job.over !== null) state.unsaved.add(job);
+    for (const { job } of [...commit.chunks, ...commit.older])
+      if (job.over !== null || job.rank !== null) enlist(state, job);
     return 'kept';
   }
   if (outcome.kind === 'failed' && outcome.keys.includes(TERM_KEY)) return 'deposed';
@@ -677,6 +661,6 @@
       if (stamp === undefined) job.older.delete(key);
       else older.stamp = stamp;
     }
-    state.unsaved.add(job);
+    enlist(state, job);
   }
 }
--- a/src/core/pipelines.ts
+++ b/src/core/pipelines.ts
@@ -6,6 +6,7 @@
  */
 import { expectedRun, isReady, recount, startLatency } from './jobs.js';
 import type { CoreState, Final, JobState, Now } from './state.js';
+import { enlist } from './unsaved.js';
 import type { EndedRecord, FinalStage } from './types.js';
 
 const MOST_FINALS = 4000;
@@ -26,7 +27,7 @@
 function doom(state: CoreState, job: JobState, since: number): void {
   if (job.over !== null || state.doomed.has(job)) return;
   state.doomed.set(job, since);
-  state.unsaved.add(job);
+  enlist(state, job);
 }
 
 function settle(state: CoreState, job: JobState, final: Final, id: string, since: number): void {
--- a/src/core/sites.ts
+++ b/src/core/sites.ts
@@ -2,6 +2,7 @@
  * The machines that tasks may be put on, indexed by the room on them, so that what fits a
  * task is found without looking at the machines that are full.
  */
+import TinyQueue from 'tinyqueue';
 import { fits, give, noRoom, take } from './room.js';
 import type { LiveClaim, Machine } from './state.js';
 import type { JobSpec, MachineType, Need, Room } from './types.js';
@@ -28,22 +29,75 @@
   busyUntil: number;
   /** Changes with its room, its tasks or what is kept on it. */
   version: number;
-  /** When a blocked task would fit, as last looked at; null: not looked at. */
-  shadow: Shadow | null;
   group: Group;
   steps: { open: number; whole: number };
 }
 
+/** When a blocked task would fit a machine, and what is free there then. */
 export interface Shadow {
-  readonly need: Need;
-  readonly version: number;
-  readonly round: number;
   /** Infinity: never. */
   readonly at: number;
-  /** Free room by then. */
   readonly room: Room;
 }
 
+interface Known {
+  readonly site: Site;
+  readonly version: number;
+  readonly shadow: Shadow;
+}
+
+/** When one task of a kind would fit each site, the earliest first. */
+export class Shadows {
+  readonly #known = new Map<Site, Known>();
+  readonly #queue = new TinyQueue<Known>(
+    [],
+    (a, b) => a.shadow.at - b.shadow.at || a.site.machine.order - b.site.machine.order,
+  );
+  #read = 0;
+
+  constructor(
+    private readonly sites: Sites,
+    private readonly look: (site: Site) => Shadow,
+  ) {
+    this.#read = sites.log.length;
+    for (const site of sites.all) this.#enter(site);
+  }
+
+  #enter(site: Site): Known {
+    const known = { site, version: site.version, shadow: this.look(site) };
+    this.#known.set(site, known);
+    if (known.shadow.at < Infinity) this.#queue.push(known);
+    return known;
+  }
+
+  of(site: Site): Shadow {
+    const known = this.#known.get(site);
+    return (known?.version === site.version ? known : this.#enter(site)).shadow;
+  }
+
+  /** The earliest of those that are able. */
+  first(able: (site: Site) => boolean): Known | null {
+    for (; this.#read < this.sites.log.length; this.#read += 1) {
+      const site = this.sites.log[this.#read];
+      if (site !== undefined && this.sites.of(site.machine) === site) this.of(site);
+    }
+    const aside: Known[] = [];
+    let found: Known | null = null;
+    for (let front = this.#queue.peek(); front !== undefined; front = this.#queue.peek()) {
+      const { site, version } = front;
+      const stands = this.sites.of(site.machine) === site && site.version === version;
+      if (stands && able(site)) {
+        found = front;
+        break;
+      }
+      this.#queue.pop();
+      if (stands) aside.push(front);
+    }
+    for (const one of aside) this.#queue.push(one);
+    return found;
+  }
+}
+
 /** Sites of one kind, by steps of the cpus that are free, with and without what is kept. */
 export interface Group {
   readonly type: MachineType;
@@ -63,8 +117,9 @@
   readonly #sites = new Map<Machine, Site>();
   readonly #groups = new Map<string, Group>();
   readonly #kept = new Map<string, number>();
-  /** Goes up when times have moved on so far that what was worked out from them is worked out anew. */
-  round = 0;
+  readonly #shadows = new Map<string, Shadows>();
+  /** Sites in the order of their changes since shadows were last forgotten. */
+  readonly log: Site[] = [];
 
   get size(): number {
     return this.#sites.size;
@@ -85,12 +140,36 @@
     this.#sites.clear();
     this.#groups.clear();
     this.#kept.clear();
+    this.forgetShadows();
   }
 
   of(machine: Machine): Site | undefined {
     return this.#sites.get(machine);
   }
 
+  *ofType(name: string): Generator<Site> {
+    for (const { type, whole } of this.#groups.values()) {
+      if (type.name === name) for (const sites of whole) yield* sites;
+    }
+  }
+
+  /** When a task of a kind would fit each site; kept until times have moved on. */
+  shadows(need: Need, look: (site: Site) => Shadow): Shadows {
+    const key = `${need.cpus}/${need.gpus}/${need.memoryGb}`;
+    let known = this.#shadows.get(key);
+    if (known === undefined) {
+      known = new Shadows(this, look);
+      this.#shadows.set(key, known);
+    }
+    return known;
+  }
+
+  /** Times have moved on: shadows are worked out anew when they are next asked for. */
+  forgetShadows(): void {
+    this.#shadows.clear();
+    this.log.length = 0;
+  }
+
   /** The most cpus of a machine among them. */
   largest(): number {
     let largest = 0;
@@ -123,7 +202,6 @@
         kept: noRoom(),
         busyUntil: 0,
         version: 0,
-        shadow: null,
         group,
         steps: { open: 0, whole: 0 },
       };
@@ -153,7 +231,12 @@
     site.steps = { open, whole };
     group.open[open]?.add(site);
     group.whole[whole]?.add(site);
+    this.changed(site);
+  }
+
+  changed(site: Site): void {
     site.version += 1;
+    this.log.push(site);
   }
 
   /** Keeps room for one more task of a class on a site. */
--- a/src/core/state.ts
+++ b/src/core/state.ts
@@ -1,6 +1,7 @@
 /** The leader's whole knowledge, owned by one owner and changed only by `step`. */
 import { Sites } from './sites.js';
 import type { Timing } from './timing.js';
+import type { Rank } from './unsaved.js';
 import type {
   ExitReason,
   FinalStage,
@@ -140,6 +141,10 @@
   present: number;
   /** Tasks that their workers report as running. */
   running: number;
+  /** What its next write is for; null: there is nothing to be written. */
+  rank: Rank | null;
+  /** Steady time from which only exits have waited to be written. */
+  exitsSince: number;
   /** It stands in the order of the queue. */
   queued: boolean;
   /** Its arrival, or becoming ready, has been counted in the demand. */
@@ -260,8 +265,12 @@
   readonly machines: Map<string, Machine>;
   /** Machines whose report waits for an answer. */
   readonly held: Set<Machine>;
-  /** Jobs of which something may have to be written, those waiting longest first. */
-  readonly unsaved: Set<JobState>;
+  /** Of these, those whose report came in with this step. */
+  readonly answerable: Machine[];
+  /** Jobs of which something may have to be written, by what for; those waiting longest first. */
+  readonly unsaved: Readonly<Record<Rank, Set<JobState>>>;
+  /** Steady time of this step. */
+  mono: number;
   /** Jobs with tasks that wait for a machine, and those that came to have some since the last look. */
   readonly waiting: Set<JobState>;
   readonly joined: JobState[];
@@ -353,7 +362,9 @@
     jobs: new Map(),
     machines: new Map(),
     held: new Set(),
-    unsaved: new Set(),
+    unsaved: { start: new Set(), end: new Set(), exit: new Set(), clean: new Set() },
+    mono: 0,
+    answerable: [],
     waiting: new Set(),
     joined: [],
     queue: [],
@@ -395,7 +406,8 @@
   state.jobs.clear();
   state.machines.clear();
   state.held.clear();
-  state.unsaved.clear();
+  for (const jobs of Object.values(state.unsaved)) jobs.clear();
+  state.answerable.length = 0;
   state.waiting.clear();
   state.joined.length = 0;
   state.queue = [];
--- a/src/core/step.ts
+++ b/src/core/step.ts
@@ -189,21 +189,34 @@
   if (machine !== undefined) machine.returnAskedAt = null;
 }
 
-function answerReports(state: CoreState, now: Now, effects: Effect[]): void {
-  for (const machine of [...state.held]) {
-    if (machine.held === null) continue;
+/**
+ * Answers the reports that nothing holds up any more. One that waits for a commit is looked
+ * at again when a commit is settled, at a tick, and once it has waited long enough; so what
+ * this costs follows what has happened, not how many wait.
+ */
+function answerReports(state: CoreState, now: Now, all: boolean, effects: Effect[]): void {
+  const look = (machine: Machine, anyway: boolean): void => {
+    if (machine.held === null) return;
     if (!hasAuthority(state, now)) refuse(state, machine, effects);
-    else if (!awaitsCommit(state, machine) || now.mono - machine.held.since >= state.rules.timing.replyHold) {
-      answer(state, machine, effects);
-    }
+    else if (anyway || !awaitsCommit(state, machine)) answer(state, machine, effects);
+  };
+  const fresh = state.answerable.splice(0);
+  for (const machine of all ? [...state.held] : fresh) look(machine, false);
+  // In the order in which they came.
+  for (const machine of state.held) {
+    if (machine.held !== null && now.mono - machine.held.since < state.rules.timing.replyHold) break;
+    look(machine, true);
   }
 }
 
 export function step(state: CoreState, commands: readonly Command[], now: Now): Effect[] {
   const effects: Effect[] = [];
+  state.mono = now.mono;
   let ticked = false;
+  let settled = false;
   for (const command of commands) {
     ticked ||= command.kind === 'tick';
+    settled ||= command.kind === 'committed' || command.kind === 'rechecked';
     apply(state, command, now, effects);
   }
   const lead = state.leadership;
@@ -218,7 +231,7 @@
   if (commit !== null) effects.push(commit);
   const ids = nextQuestion(state, now);
   if (ids !== null) effects.push({ kind: 'resolve', ids });
-  answerReports(state, now, effects);
+  answerReports(state, now, ticked || settled, effects);
   if (ticked) {
     raiseTokens(state, now, effects);
     if (placing && now.mono >= state.planAt) {
--- a/test/capacity.test.ts
+++ b/test/capacity.test.ts
@@ -2,7 +2,7 @@
 import fc from 'fast-check';
 import { expect, test } from 'vitest';
 import { earliest, Openings, type Planned } from '../src/core/capacity.js';
-import { collectRoom, findShadow } from '../src/core/easy.js';
+import { collectRoom, earliestShadow } from '../src/core/easy.js';
 import { claimTask, addJob } from '../src/core/ledger.js';
 import { machineNamed } from '../src/core/fleet.js';
 import { freeRoom, fits } from '../src/core/room.js';
@@ -72,7 +72,7 @@
         });
         return state.sites.update(machine, EIGHT, (claim) => claim.expectedEnd);
       });
-      const found = findShadow(state, sites, of, 1, now);
+      const found = earliestShadow(state, of, now, () => true);
       const plain = collectRoom(state, sites, of, 1, now);
       expect(found?.at).toBe(plain?.at);
       expect([...(found?.holds ?? [])]).toEqual([...(plain?.holds ?? [])]);
