All machines that a plan wants are asked for at once, evenly among zones of one price

Cause: at most 50 of a kind every plan, each plan 3 s after the other, 6 s after the first election: a fleet of 600 was asked for from 7 to 20 s. Change: as many requests as it takes; what is refused is looked for elsewhere at the next tick; the first leader of all has no earlier rentals to wait for.

--- a/src/core/capacity.ts
+++ b/src/core/capacity.ts
@@ -144,6 +144,27 @@
   return kinds.sort((a, b) => a.price - b.price);
 }
 
+/** Prices this close to one another are the same. */
+const SAME_PRICE = 1.001;
+
+/**
+ * The kind to rent next: of those that cost the same the one with the fewest machines, as far
+ * as the plan goes. What a cut of a zone, or a wave that takes its machines, leaves is more then.
+ */
+function pick(plan: Plan, kinds: readonly Kind[]): Kind | undefined {
+  const most = (kinds[0]?.price ?? 0) * SAME_PRICE;
+  let best: Kind | undefined;
+  let least = Infinity;
+  for (const kind of kinds) {
+    if (kind.price > most) break;
+    const count = plan.counts.get(kindKey(kind.type.name, kind.zone, kind.spot)) ?? 0;
+    if (count >= least) continue;
+    best = kind;
+    least = count;
+  }
+  return best;
+}
+
 /**
  * How many tasks of each class would be running now had each started as it came, and the
  * most of late. A backlog does not count: it has piled up for want of room, and room kept
@@ -226,6 +247,8 @@
   readonly machines: Planned[];
   readonly scarce: ReadonlySet<string>;
   readonly wanted: Map<string, { kind: Kind; count: number }>;
+  /** Machines of each kind, up, booting or wanted. */
+  readonly counts: Map<string, number>;
   /** What is open to the jobs of each shape met so far. */
   readonly open: Map<string, { readonly spec: JobSpec; readonly choosy: boolean; readonly open: Open }>;
 }
@@ -329,7 +352,7 @@
   const { state, now } = plan;
   const { spec } = job;
   const run = spec.form === 'service' ? Infinity : expectedRun(state, spec);
-  const kind = kindsFor(state, spec, plan.scarce, choosy, now)[0];
+  const kinds = kindsFor(state, spec, plan.scarce, choosy, now);
   const shape = shapeOf(job) ?? spec.id;
   const known = plan.open.get(shape) ?? { spec, choosy, open: openTo(plan, job, choosy) };
   plan.open.set(shape, known);
@@ -346,7 +369,8 @@
       }
     }
     const start = best?.at ?? Infinity;
-    if (kind !== undefined && start > latest && start > now.mono + kind.type.bootS * 1000) {
+    const kind = start > latest ? pick(plan, kinds) : undefined;
+    if (kind !== undefined && start > now.mono + kind.type.bootS * 1000) {
       want(plan, kind, 1);
       const rented = newMachine(kind.type, kind.zone, kind.spot, now);
       addPlanned(plan, rented, known.open);
@@ -389,7 +413,8 @@
   // None has come for long, by its own measure or by that of a boot: no more are expected.
   if (now.mono - arrivedAt > Math.min(ARRIVALS_OVER * gap, 2000 * boot)) return;
   const needed = Math.ceil(peak * state.rules.policy.headroom(spec));
-  const kind = kinds.find(({ spot }) => spot);
+  const cheap = kinds.filter(({ spot }) => spot);
+  const kind = cheap[0];
   let missing = needed;
   let missingNow = needed;
   for (const spot of [true, false]) {
@@ -410,8 +435,13 @@
       if (spot || kind === undefined) missing -= found;
     }
   }
-  if (kind === undefined || missing <= 0) return;
-  want(plan, kind, Math.ceil(missing / Math.max(1, slots(spec, roomOf(kind.type)))));
+  while (missing > 0) {
+    const next = pick(plan, cheap);
+    const found = next === undefined ? 0 : slots(spec, roomOf(next.type));
+    if (next === undefined || found === 0) return;
+    want(plan, next, 1);
+    missing -= found;
+  }
 }
 
 function want(plan: Plan, kind: Kind, count: number): void {
@@ -419,6 +449,7 @@
   const asked = plan.wanted.get(key) ?? { kind, count: 0 };
   asked.count += count;
   plan.wanted.set(key, asked);
+  plan.counts.set(key, (plan.counts.get(key) ?? 0) + count);
 }
 
 /**
@@ -431,12 +462,19 @@
   noteDemand(state, now);
   const queue = waitingJobs(state, now);
   const scarce = scarceClasses(state);
+  const machines = planMachines(state, now);
+  const counts = new Map<string, number>();
+  for (const { type, zone, spot } of machines) {
+    const key = kindKey(type.name, zone, spot);
+    counts.set(key, (counts.get(key) ?? 0) + 1);
+  }
   const plan: Plan = {
     state,
     now,
-    machines: planMachines(state, now),
+    machines,
     scarce,
     wanted: new Map(),
+    counts,
     open: new Map(),
   };
   for (const job of queue) {
@@ -448,16 +486,19 @@
   for (const { machine, used } of plan.machines) if (machine !== null && used) state.inPlan.add(machine);
   if (now.mono < state.rentNotBefore) return;
   for (const { kind, count } of plan.wanted.values()) {
-    const rental = {
-      request: `t${lead.term}-${state.nextRequest++}`,
-      type: kind.type.name,
-      zone: kind.zone,
-      spot: kind.spot,
-      count: Math.min(count, MOST_PER_RENTAL),
-    };
-    state.rentals.set(rental.request, { ...rental, askedAt: now.mono });
-    log(effects, 'rent', rental);
-    effects.push({ kind: 'rent', ...rental });
+    // All of it at once: a fleet that is asked for in slices comes up in slices.
+    for (let left = count; left > 0; left -= MOST_PER_RENTAL) {
+      const rental = {
+        request: `t${lead.term}-${state.nextRequest++}`,
+        type: kind.type.name,
+        zone: kind.zone,
+        spot: kind.spot,
+        count: Math.min(left, MOST_PER_RENTAL),
+      };
+      state.rentals.set(rental.request, { ...rental, askedAt: now.mono });
+      log(effects, 'rent', rental);
+      effects.push({ kind: 'rent', ...rental });
+    }
   }
 }
 
@@ -488,6 +529,8 @@
     machine.rentedAt = Math.min(machine.rentedAt, rental.askedAt);
   }
   if (got.length < rental.count) {
+    // What could not be had is looked for elsewhere at once.
+    if (state.planAt > 0) state.planAt = 1;
     const type = state.types.get(rental.type);
     state.refusedUntil.set(
       kindKey(rental.type, rental.zone, rental.spot),
--- a/src/core/step.ts
+++ b/src/core/step.ts
@@ -97,8 +97,8 @@
       state.wide = command.wide;
       state.budget.at = now.mono;
       state.nextRequest = 1;
-      // The list may not show yet what the leader before has rented.
-      state.rentNotBefore = now.mono + 2 * state.rules.timing.longestReport;
+      // The list may not show yet what the leader before has rented; the very first has none before it.
+      state.rentNotBefore = command.term === 1 ? now.mono : now.mono + 2 * state.rules.timing.longestReport;
       // In the order of arrival, so that those that wait find what they wait for.
       for (const job of [...command.jobs].sort((a, b) => a.stamp - b.stamp)) addJob(state, job);
       loadChunks(state, command.chunks, now, machineOf);
