Notices drain machines; a zone that is cut off gives up what would be late by waiting

Cause: tasks on a machine with a notice ran into its end, and were found lost 10 s after; tasks of a zone that was cut off waited for its return, 41 s, with their leases over after 15. Change: at a notice what is not expected to end in time is stopped and runs elsewhere; the machine goes back as soon as it is taken. Machines of a quiet zone whose jobs would lose an aim by waiting are given back once their leases are over; the others are waited for as before.

--- a/src/core/aims.ts
+++ b/src/core/aims.ts
@@ -77,6 +77,15 @@
   return pressed;
 }
 
+/** Whether a job loses an aim that it could still meet if its tasks wait for so long. */
+export function losesBy(state: CoreState, job: JobState, wait: number, now: Now): boolean {
+  let loses = false;
+  eachChance(state, job, now, ({ left }) => {
+    loses ||= left >= 0 && left < wait;
+  });
+  return loses;
+}
+
 /** Whether a class cannot wait for a machine to boot: its tasks are to start sooner. */
 export function isHurried(state: CoreState, spec: JobSpec): boolean {
   const within = strictestStart(state, spec);
--- a/src/core/capacity.ts
+++ b/src/core/capacity.ts
@@ -1,8 +1,8 @@
 /** Renting and giving back: how much, of what kind, and when. */
 import TinyQueue from 'tinyqueue';
 import { allowedWait, latestStart } from './aims.js';
-import { expectedEnd } from './easy.js';
 import type { Effect } from './effects.js';
+import { expectedEnd } from './fleet.js';
 import { expectedRun, isReady, waitingTasks } from './jobs.js';
 import { ARRIVALS_OVER } from './keeping.js';
 import { log } from './log.js';
--- a/src/core/easy.ts
+++ b/src/core/easy.ts
@@ -4,7 +4,7 @@
  * extra room. Room is counted per machine and resource.
  */
 import { isHurried, isPressed, startBy } from './aims.js';
-import { isUsable } from './fleet.js';
+import { expectedEnd, isUsable } from './fleet.js';
 import { expectedRun, nextTask, waitingTasks } from './jobs.js';
 import { keepRoom } from './keeping.js';
 import { claimTask } from './ledger.js';
@@ -31,14 +31,6 @@
  */
 const MOST_WEIGHED = 160;
 
-/** When a task on a machine is expected to be gone; one past its end, an allowance from now. */
-export function expectedEnd(state: CoreState, claim: LiveClaim, now: Now): number {
-  const { spec } = claim.job;
-  if (spec.form === 'service') return Infinity;
-  if (claim.expectedEnd > now.mono) return claim.expectedEnd;
-  return now.mono + state.rules.policy.overrunAllowance(spec);
-}
-
 /** Zones open to the next task, given every task of the job that may be on a machine. */
 function zoneRule(state: CoreState, job: JobState, placed: readonly Site[] = []): (zone: string) => boolean {
   const { spec } = job;
--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -1,4 +1,5 @@
 /** Machines: what their reports prove, what they are told, and when they are given up. */
+import { losesBy } from './aims.js';
 import type { Effect } from './effects.js';
 import { expectedRun } from './jobs.js';
 import { isDurable, recordStrayDone, releaseClaim } from './ledger.js';
@@ -429,20 +430,57 @@
   return silent > MOST_SILENT * heard ? timing.silence : timing.shortSilence;
 }
 
+/** When a task on a machine is expected to be gone; one past its end, an allowance from now. */
+export function expectedEnd(state: CoreState, claim: LiveClaim, now: Now): number {
+  const { spec } = claim.job;
+  if (spec.form === 'service') return Infinity;
+  if (claim.expectedEnd > now.mono) return claim.expectedEnd;
+  return now.mono + state.rules.policy.overrunAllowance(spec);
+}
+
+/**
+ * Takes off a machine that the cloud will take what is not expected to end there: it runs
+ * again the sooner. What can save does so, as late as it safely can.
+ */
+function drain(state: CoreState, machine: Machine, takenAt: number, now: Now): void {
+  const { longestReport } = state.rules.timing;
+  for (const claim of machine.claims.values()) {
+    const { spec } = claim.job;
+    if (claim.unwanted || expectedEnd(state, claim, now) <= takenAt) continue;
+    const saves = spec.checkpointS > 0 && spec.saveS * 1000 + 2 * longestReport < takenAt - now.mono;
+    if (!saves) claim.unwanted = true;
+  }
+}
+
+/** Whether something on a machine that may be of use only much later should rather run again now. */
+function isMissed(state: CoreState, machine: Machine, wait: number, now: Now): boolean {
+  for (const { job } of machine.claims.values())
+    if (job.over === null && losesBy(state, job, wait, now)) return true;
+  return false;
+}
+
 /** Gives up machines that are silent, never came up, or hold cancelled work out of reach. */
 export function judgeMachines(state: CoreState, now: Now): void {
   const { timing } = state.rules;
   const apart = zonesApart(state, now);
   const usual = patienceWith(state, now);
+  // How long a machine of a zone that is apart may be silent: it may well come back, but its
+  // lease is over by then, and what its tasks would miss by waiting for it they need not.
+  const patienceApart = (machine: Machine, silent: number): number => {
+    const longest = 3 * timing.workerLease;
+    return silent > timing.silence && isMissed(state, machine, longest - silent, now)
+      ? timing.silence
+      : longest;
+  };
   for (const machine of state.machines.values()) {
     if (machine.leaving !== null) continue;
-    const patience = apart.has(machine.zone) ? 3 * timing.workerLease : timing.silence;
     const type = state.types.get(machine.type);
     const boot = (type?.bootS ?? 60) * 1000;
     if (machine.heardAt === null) {
       if (machine.relayedAt !== null && now.mono - machine.relayedAt < timing.silence) continue;
       const expected = machine.listed === 'running' || machine.claims.size > 0;
       const unheard = now.mono - machine.knownAt;
+      const patience = apart.has(machine.zone) ? patienceApart(machine, unheard) : timing.silence;
       if (expected) {
         if (unheard > patience) leave(machine, 'never heard');
       } else if (now.mono - machine.rentedAt > 3 * boot && unheard > timing.silence) {
@@ -451,7 +489,11 @@
       continue;
     }
     const silent = now.mono - Math.max(machine.heardAt, machine.relayedAt ?? 0);
-    if (silent > (apart.has(machine.zone) ? patience : usual)) leave(machine, 'silent');
+    if (machine.takenAt !== null) {
+      if (now.mono > machine.takenAt && silent > 1.5 * timing.longestReport) leave(machine, 'taken');
+      else drain(state, machine, machine.takenAt, now);
+    }
+    if (silent > (apart.has(machine.zone) ? patienceApart(machine, silent) : usual)) leave(machine, 'silent');
     else if (silent > 0.5 * timing.silence) {
       for (const claim of machine.claims.values()) {
         if (claim.job.over !== null) leave(machine, 'silent with ended work');
