A deputy answers a worker that came in vain once, then sends it to the leader again

Cause: a follower that had once sent a worker in vain kept answering for up to a lease, also when the leader could hear the worker again; seen from the leader it was silent.

--- a/src/node.ts
+++ b/src/node.ts
@@ -355,19 +355,22 @@
     const heard = leader === null ? undefined : this.#heard.get(leader);
     const reachable = heard !== undefined && now - heard.at < this.#timing.longestReport;
     const sent = this.#redirected.get(report.machine);
-    // Back so soon: it has tried the leader in vain, even if this node hears it.
+    // Back after so long: it has tried the leader in vain, even if this node hears it. It is
+    // answered once and then sent again: kept here until its lease had passed by, it was
+    // silent to a leader that could hear it again, and given back alive with all its tasks.
     const inVain =
       sent !== undefined &&
       now - sent < this.#timing.workerLease &&
-      now - sent > 2 * this.#timing.longestReport;
+      now - sent > this.#timing.longestReport;
     const token = this.#highestTerm;
     if (leader === null || token === 0 || report.token > token || (reachable && !inVain)) {
       if (this.#redirected.size > MOST_REDIRECTED) this.#redirected.clear();
-      if (leader !== null && (sent === undefined || now - sent > 2 * this.#timing.longestReport))
+      if (leader !== null && (sent === undefined || now - sent > this.#timing.longestReport))
         this.#redirected.set(report.machine, now);
       done(421, encodeRedirect(leader));
       return;
     }
+    this.#redirected.delete(report.machine);
     void this.#deputy.answer(report).then((commands) => {
       if (commands === null || this.#owner.state.leadership !== null || token !== this.#highestTerm)
         done(503, '{}');
