A cut-off leader asks nothing of the cloud; how long a zone is quiet outlives its leader

Cause: a leader on the wrong side of a cut gave back the other zone's machines; the cut held the requests back, and at its end they took 132 machines with 882 tasks from the leader that had followed. Each takeover began the wait for a quiet zone anew: 272 machines were given back 6 s before it returned. Change: judging, renting and returning need a proof of the view younger than the leader's lease; controllers tell one another which zones are quiet and since when.

--- a/src/core/effects.ts
+++ b/src/core/effects.ts
@@ -46,6 +46,8 @@
       readonly jobs: readonly Stamped<JobSpec>[];
       readonly chunks: readonly LoadedChunk[];
       readonly memory: readonly ClassMemory[];
+      /** Zones of which the leaders before heard nobody, and the steady time since. */
+      readonly quiet?: ReadonlyMap<string, number>;
     }
   /** A deputy has heard these machines lately. */
   | { readonly kind: 'relayed'; readonly machines: readonly string[] }
--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -394,19 +394,29 @@
  */
 function zonesApart(state: CoreState, now: Now): Set<string> {
   const { longestReport } = state.rules.timing;
-  const zones = new Map<string, { silent: number; all: number }>();
+  const zones = new Map<string, { silent: number; all: number; last: number }>();
   for (const { heardAt, knownAt, listed, claims, zone, leaving } of state.machines.values()) {
     // A machine known from claims alone, listed nowhere, is of no known zone, and likely gone.
     if (zone === '') continue;
     // One still booting says nothing; one that should be up, to a new leader, does.
     if (leaving !== null || (heardAt === null && listed !== 'running' && claims.size === 0)) continue;
-    const counts = zones.get(zone) ?? { silent: 0, all: 0 };
+    const counts = zones.get(zone) ?? { silent: 0, all: 0, last: 0 };
     counts.all += 1;
+    counts.last = Math.max(counts.last, heardAt ?? knownAt);
     if (now.mono - (heardAt ?? knownAt) > 3 * longestReport) counts.silent += 1;
     zones.set(zone, counts);
   }
   const apart = new Set<string>();
-  for (const [zone, { silent, all }] of zones) if (silent >= 3 && silent > 0.9 * all) apart.add(zone);
+  for (const [zone, { silent, all, last }] of zones) {
+    if (silent < 3 || silent <= 0.9 * all) continue;
+    apart.add(zone);
+    // What a leader before has seen of it counts: each takeover would begin the wait anew.
+    state.quiet.set(zone, Math.min(last, state.quiet.get(zone) ?? Infinity));
+  }
+  for (const zone of state.quiet.keys()) {
+    if (!apart.has(zone) && now.mono - (zones.get(zone)?.last ?? -Infinity) <= 3 * longestReport)
+      state.quiet.delete(zone);
+  }
   return apart;
 }
 
@@ -479,7 +489,8 @@
     if (machine.heardAt === null) {
       if (machine.relayedAt !== null && now.mono - machine.relayedAt < timing.silence) continue;
       const expected = machine.listed === 'running' || machine.claims.size > 0;
-      const unheard = now.mono - machine.knownAt;
+      const since = apart.has(machine.zone) ? state.quiet.get(machine.zone) : undefined;
+      const unheard = now.mono - Math.min(machine.knownAt, since ?? Infinity);
       const patience = apart.has(machine.zone) ? patienceApart(machine, unheard) : timing.silence;
       if (expected) {
         if (unheard > patience) leave(machine, 'never heard');
--- a/src/core/state.ts
+++ b/src/core/state.ts
@@ -243,6 +243,16 @@
   provenAt: number;
 }
 
+/**
+ * Whether a leader's word is fresh enough to act on at the cloud. What one that is cut off
+ * asks for may be carried out much later, on machines that its successor uses: a fleet lost
+ * a third of its live machines to the returns that a cut had held back.
+ */
+export function mayAct(state: CoreState, now: Now): boolean {
+  const lead = state.leadership;
+  return lead !== null && now.mono - lead.provenAt < state.rules.timing.leaderLease;
+}
+
 export interface Head {
   readonly job: string;
   readonly machines: readonly string[];
@@ -317,6 +327,8 @@
   /** Run time over estimate, by class, as completed tasks show it. */
   readonly runRatio: Map<string, number>;
   readonly demand: Map<string, Demand>;
+  /** Zones of which nobody is heard, and the steady time since which that is so, as far as known. */
+  readonly quiet: Map<string, number>;
   /** Machines that the latest plan puts waiting tasks, or room kept ready, on. */
   readonly inPlan: Set<string>;
 }
@@ -396,6 +408,7 @@
     head: null,
     runRatio: new Map(),
     demand: new Map(),
+    quiet: new Map(),
     inPlan: new Set(),
   };
 }
@@ -430,6 +443,7 @@
   state.commitNotBefore = 0;
   state.head = null;
   state.demand.clear();
+  state.quiet.clear();
   state.inPlan.clear();
   state.planAt = 0;
 }
--- a/src/core/step.ts
+++ b/src/core/step.ts
@@ -18,7 +18,7 @@
 import { log } from './log.js';
 import { nextQuestion, settleQuestion } from './pipelines.js';
 import { sortQueue } from './queue.js';
-import { forgetLeadership, type CoreState, type Machine, type Now } from './state.js';
+import { forgetLeadership, mayAct, type CoreState, type Machine, type Now } from './state.js';
 
 function resign(state: CoreState, reason: string, effects: Effect[]): void {
   if (state.leadership === null) return;
@@ -73,7 +73,7 @@
   const machineOf = (name: string): Machine => machineNamed(state, name, now);
   switch (command.kind) {
     case 'tick':
-      if (state.leadership !== null) judgeMachines(state, now);
+      if (mayAct(state, now)) judgeMachines(state, now);
       break;
     case 'report':
       onReport(state, command, now, effects);
@@ -95,6 +95,7 @@
       };
       state.layout = command.layout;
       state.wide = command.wide;
+      for (const [zone, since] of command.quiet ?? []) state.quiet.set(zone, since);
       state.budget.at = now.mono;
       state.nextRequest = 1;
       // The list may not show yet what the leader before has rented; the very first has none before it.
@@ -234,11 +235,11 @@
   answerReports(state, now, ticked || settled, effects);
   if (ticked) {
     raiseTokens(state, now, effects);
-    if (placing && now.mono >= state.planAt) {
+    if (placing && mayAct(state, now) && now.mono >= state.planAt) {
       state.planAt = now.mono + state.rules.timing.longestReport;
       rent(state, now, effects);
     }
-    giveBack(state, now, effects);
+    if (mayAct(state, now)) giveBack(state, now, effects);
     rememberDemand(state, now, effects);
   }
   return effects;
--- a/src/node.ts
+++ b/src/node.ts
@@ -17,7 +17,7 @@
 import { rulesFor } from './rules.js';
 import { lastingLimits, timing, type PlatformSettings, type Timing } from './settings.js';
 import { firstLayout, formatRecord, lastingLayout, Upgrade } from './upgrade.js';
-import type { JobCount, PeerStatus } from './wire/peers.js';
+import type { JobCount, PeerStatus, QuietZone } from './wire/peers.js';
 import {
   decodeChunk,
   decodeDeputy,
@@ -100,6 +100,8 @@
   readonly #counts = new Map<string, JobCount>();
   readonly #heard = new Map<string, HeardStatus>();
   readonly #redirected = new Map<string, number>();
+  /** Zones of which the leader heard nobody, and the steady time since. */
+  readonly #quiet = new Map<string, number>();
   readonly #deputy: Deputy;
   readonly #upgrade: Upgrade;
   #nextReply = 1;
@@ -261,9 +263,27 @@
       counts,
       format: FORMAT,
       settledAt: this.#settledAt(),
+      quiet: this.#quietZones(),
     };
   }
 
+  /** What is known of zones that nobody is heard of: by this node as the leader, or from one. */
+  #quietZones(): QuietZone[] {
+    const { state } = this.#owner;
+    const now = this.#clock.mono();
+    const known = state.leadership === null ? this.#quiet : state.quiet;
+    return [...known].map(([zone, since]) => ({ zone, ageMs: Math.max(0, Math.round(now - since)) }));
+  }
+
+  /** Takes over what a peer knows of quiet zones; it grows old by itself once nobody tells of it. */
+  #learnQuiet(status: PeerStatus, now: number): void {
+    if (status.leading) this.#quiet.clear();
+    for (const { zone, ageMs } of status.quiet) {
+      const since = now - ageMs;
+      if (status.leading || (this.#quiet.get(zone) ?? -Infinity) < since) this.#quiet.set(zone, since);
+    }
+  }
+
   /** Time of day up to which cancellations have gone through their pipelines; 0 without leading. */
   #settledAt(): number {
     const { state } = this.#owner;
@@ -292,6 +312,7 @@
       this.#highestTerm = status.term;
       this.#owner.push({ kind: 'tokenSeen', token: status.term });
     }
+    if (status.term >= this.#highestTerm) this.#learnQuiet(status, now);
     if (!status.leading || status.term < this.#highestTerm) return;
     if (this.#owner.state.leadership === null) this.#leader = status.node;
     this.#counts.clear();
@@ -359,9 +380,7 @@
     // answered once and then sent again: kept here until its lease had passed by, it was
     // silent to a leader that could hear it again, and given back alive with all its tasks.
     const inVain =
-      sent !== undefined &&
-      now - sent < this.#timing.workerLease &&
-      now - sent > this.#timing.longestReport;
+      sent !== undefined && now - sent < this.#timing.workerLease && now - sent > this.#timing.longestReport;
     const token = this.#highestTerm;
     if (leader === null || token === 0 || report.token > token || (reachable && !inVain)) {
       if (this.#redirected.size > MOST_REDIRECTED) this.#redirected.clear();
@@ -526,6 +545,9 @@
         jobs: decodeJobs(jobs.entries),
         chunks,
         memory,
+        quiet: new Map(
+          [...this.#quiet].filter(([, since]) => this.#clock.mono() - since < 3 * this.#timing.workerLease),
+        ),
       });
       await this.#follow(term, jobs.revision);
       return;
--- a/src/wire/peers.ts
+++ b/src/wire/peers.ts
@@ -22,6 +22,13 @@
    * pipeline, as a leader knows; 0: unknown.
    */
   readonly settledAt: number;
+  /** Zones of which the leader hears nobody, and for how long; as far as this node knows. */
+  readonly quiet: readonly QuietZone[];
+}
+
+export interface QuietZone {
+  readonly zone: string;
+  readonly ageMs: number;
 }
 
 const root = protobuf.Root.fromJSON({
@@ -33,6 +40,12 @@
         running: { type: 'uint32', id: 3 },
       },
     },
+    QuietZone: {
+      fields: {
+        zone: { type: 'string', id: 1 },
+        ageMs: { type: 'uint32', id: 2 },
+      },
+    },
     PeerStatus: {
       fields: {
         node: { type: 'string', id: 1 },
@@ -44,6 +57,7 @@
         // Versions before pipelines leave these out, and skip them.
         format: { type: 'uint32', id: 7 },
         settledAt: { type: 'double', id: 8 },
+        quiet: { rule: 'repeated', type: 'QuietZone', id: 9 },
       },
     },
   },
--- /dev/null
+++ b/test/fleet.test.ts
@@ -0,0 +1,144 @@
+/** Many machines lost at once: what is given back, what runs again, and what a cut-off leader must not ask for. */
+import { expect, test } from 'vitest';
+import { aimsLost, isHurried, latestStart } from '../src/core/aims.js';
+import { classAims } from '../src/rules.js';
+import type { Effect } from '../src/core/effects.js';
+import type { ClassAims } from '../src/core/state.js';
+import { claimTask } from '../src/core/ledger.js';
+import { CoreBench, EIGHT, job, report, task } from './standins/core.js';
+
+const returned = (effects: readonly Effect[]): string[] =>
+  effects.flatMap((effect) => (effect.kind === 'return' ? effect.machines : []));
+const rented = (effects: readonly Effect[]): number =>
+  effects.reduce((sum, effect) => sum + (effect.kind === 'rent' ? effect.count : 0), 0);
+
+// Of two start aims of a class the last one in the settings won: a class that must start within
+// three seconds was served as one that may wait for fifty.
+test('a class may have any number of aims of each kind, and each counts by itself', () => {
+  const aims = classAims([
+    { kind: 'wait', class: 'rush', within_s: 3 },
+    { kind: 'wait', class: 'rush', within_s: 50 },
+    { kind: 'finished', class: 'rush', within_s: 100 },
+    { kind: 'deadline', class: 'rush', times: 1.5 },
+    { kind: 'deadline', class: 'rush' },
+  ]);
+  expect(aims.get('rush')).toEqual({ starts: [3000, 50_000], deadlines: [1, 1.5], finishes: [100_000] });
+  const bench = new CoreBench();
+  (bench.state.rules.aims as Map<string, ClassAims>).set('rush', aims.get('rush') as ClassAims);
+  bench.add(job('req-1', 1, 2, 20, { jobClass: 'rush', priority: 1, deadlineS: 50, submittedAt: bench.now }));
+  const [rush] = bench.state.jobs.values();
+  if (rush === undefined) throw new Error('no job');
+  expect(isHurried(bench.state, rush.spec)).toBe(true);
+  const lostAfter = (s: number): number => {
+    const now = { mono: bench.now + 1000 * s, wall: bench.now + 1000 * s };
+    return aimsLost(bench.state, rush, now).lost;
+  };
+  expect([0, 2, 40, 60, 90].map(lostAfter)).toEqual([0, 1, 2, 4, 5]);
+  expect(latestStart(bench.state, rush, bench.time())).toBeLessThanOrEqual(bench.now + 3000);
+});
+
+// A cut held back the returns that a leader had asked for on the wrong side of it; carried out
+// when it ended, they took a third of the fleet from its successor, alive and at work.
+test('a leader whose view is not proven fresh asks nothing of the cloud', () => {
+  const bench = new CoreBench();
+  const names = ['m', 'n', 'o', 'p'];
+  for (const name of names) bench.hear(report(name, 1));
+  bench.proven = false;
+  bench.now += 3 * bench.state.rules.timing.silence;
+  bench.state.leadership = {
+    ...(bench.state.leadership ?? { term: 5, stamp: 100, since: 0, provenAt: 0 }),
+    authorityUntil: Infinity,
+  };
+  bench.add(job('req-1', 9, 8, 50));
+  expect([returned(bench.do({ kind: 'tick' })), rented(bench.do({ kind: 'tick' }))]).toEqual([[], 0]);
+  bench.proven = true;
+  expect(returned(bench.do({ kind: 'tick' }))).toEqual(names);
+});
+
+const FAR = ['p', 'q', 'r', 's'];
+
+/** Four machines of zone b, each with a task of a job that has so long; the leader hears only m, of zone a. */
+function apart(deadlineS: number | null): CoreBench {
+  const bench = new CoreBench();
+  for (const name of FAR) bench.hear(report(name, 1, [], { zone: 'b' }));
+  bench.add(job('req-1', 4, 8, 20, { deadlineS, submittedAt: bench.now }));
+  for (const name of FAR) bench.hear(report(name, 2, [], { zone: 'b' }));
+  for (const name of FAR) {
+    const [claim] = bench.state.machines.get(name)?.claims.values() ?? [];
+    bench.hear(report(name, 3, [task(`req-1/${claim?.task}`, 1, 'running')], { zone: 'b' }));
+  }
+  bench.now += bench.state.rules.timing.silence + 500;
+  bench.hear(report('m', 1));
+  return bench;
+}
+
+// Rush work waited 41 s for a zone to come back whose leases had long ended.
+test('of a zone that is cut off, what would be late by waiting runs again once its leases are over', () => {
+  expect(returned(apart(50).do({ kind: 'tick' }))).toEqual(FAR);
+  expect(returned(apart(null).do({ kind: 'tick' }))).toEqual([]);
+});
+
+// Each change of leader during a cut began the wait anew: a zone was given back six seconds
+// before it came back.
+test('how long a zone has been quiet outlives the leader that saw it', () => {
+  const before = apart(45);
+  const { timing } = before.state.rules;
+  const jobs = [...before.state.jobs.values()].map(({ spec, stamp }) => ({ value: spec, stamp }));
+  const next = (quiet: Map<string, number>): string[] => {
+    const bench = new CoreBench();
+    bench.now = before.now;
+    const { layout, wide } = bench.state;
+    const term = { term: 6, stamp: 200, provenAt: bench.now, layout, wide, chunks: [], memory: [] };
+    bench.do({ kind: 'lead', ...term, jobs, quiet });
+    const listed = FAR.map((name) => ({
+      name,
+      address: '10.0.0.9:1',
+      type: 'eight',
+      zone: 'b',
+      spot: true,
+      stage: 'running' as const,
+      ageS: 99,
+    }));
+    bench.do({ kind: 'listed', askedAt: bench.now, machines: listed });
+    FAR.forEach((name, i) => {
+      const machine = bench.state.machines.get(name);
+      const owner = bench.state.jobs.get('req-1');
+      if (machine !== undefined && owner !== undefined)
+        claimTask(bench.state, owner, i, machine, bench.time(), Infinity);
+    });
+    bench.now += 3 * timing.longestReport + 500;
+    return returned(bench.do({ kind: 'tick' }));
+  };
+  expect(next(new Map())).toEqual([]);
+  expect(next(new Map([['b', before.now - timing.silence]]))).toEqual(FAR);
+});
+
+// What ran on a machine with a notice was lost with it, and found lost only 10 s after.
+test('a machine with a notice is drained of what would not end there, and goes back when it is taken', () => {
+  const bench = new CoreBench();
+  for (const name of ['m', 'n', 'o', 'p']) bench.hear(report(name, 1));
+  bench.add(job('req-1', 2, 4, 100));
+  const before = bench.hear(report('m', 2));
+  expect(CoreBench.starts(before)).toHaveLength(2);
+  const running = [task('req-1/0', 1, 'running'), task('req-1/1', 1, 'running')];
+  bench.hear(report('m', 3, running, { noticeS: 20 }));
+  bench.do({ kind: 'tick' });
+  const told = bench.hear(report('m', 4, running, { noticeS: 19 }));
+  expect(JSON.stringify(told).match(/"op":"stop"/g)).toHaveLength(2);
+  bench.hear(report('m', 5, [task('req-1/0', 1, 'exited', 'stopped')], { noticeS: 18 }));
+  bench.now += 18_000 + 2 * bench.state.rules.timing.longestReport;
+  for (const name of ['n', 'o', 'p']) bench.hear(report(name, 2));
+  expect(returned(bench.do({ kind: 'tick' }))).toEqual(['m']);
+});
+
+// Fifty machines each three seconds: a fleet of 600 took 13 s to be asked for.
+test('all machines that a plan wants are asked for at once, evenly among zones of one price', () => {
+  const bench = new CoreBench(0, [{ ...EIGHT, zones: ['a', 'b'] }]);
+  bench.now += 1000;
+  bench.add(job('req-1', 200, 8, 50));
+  const asked = bench.do({ kind: 'tick' }).filter((effect) => effect.kind === 'rent');
+  const zones = new Map<string, number>();
+  for (const { zone, count } of asked) zones.set(zone, (zones.get(zone) ?? 0) + count);
+  expect(Object.fromEntries(zones)).toEqual({ a: 100, b: 100 });
+  expect(Math.max(...asked.map(({ count }) => count))).toBeLessThanOrEqual(50);
+});
--- a/test/upgrade.test.ts
+++ b/test/upgrade.test.ts
@@ -74,6 +74,7 @@
     counts: [],
     format: 2,
     settledAt: 1e12,
+    quiet: [],
   });
   expect(earlier.toObject(earlier.decodeDelimited(own))).toMatchObject({ node: 'n-1', term: 8 });
 });
--- a/test/wire.test.ts
+++ b/test/wire.test.ts
@@ -14,6 +14,7 @@
   counts: [{ id: 'req-1', done: 3, running: 0 }],
   format: 2,
   settledAt: 12.5,
+  quiet: [{ zone: 'b', ageMs: 1500 }],
 };
 
 test('peer messages survive any cutting of the stream', () => {
