Deputies tell at once, by peer link too; the leader's lease is a fifth of a worker's

Cause: a leader that lost only its workers learned of what its deputies answered up to 17 s late, and gave back 61 live machines with 441 tasks; workers of a quiet zone were sent to the leader in vain first. Change: a deputy tells new machines at once, and all of them with each peer message; the leader looks for them every report, not every third; workers of a quiet zone are answered at their first visit; urgent work of a quiet zone that no deputy hears runs again after half a lease. Leases of 0.2 for 0.3.

--- a/src/core/effects.ts
+++ b/src/core/effects.ts
@@ -49,8 +49,8 @@
       /** Zones of which the leaders before heard nobody, and the steady time since. */
       readonly quiet?: ReadonlyMap<string, number>;
     }
-  /** A deputy has heard these machines lately. */
-  | { readonly kind: 'relayed'; readonly machines: readonly string[] }
+  /** A deputy has heard these machines, so long ago. */
+  | { readonly kind: 'relayed'; readonly machines: readonly string[]; readonly ageMs: number }
   | { readonly kind: 'resign'; readonly reason: string }
   | { readonly kind: 'tokenSeen'; readonly token: number }
   | { readonly kind: 'proof'; readonly sentAt: number }
--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -474,12 +474,12 @@
   const { timing } = state.rules;
   const apart = zonesApart(state, now);
   const usual = patienceWith(state, now);
-  // How long a machine of a zone that is apart may be silent: it may well come back, but its
-  // lease is over by then, and what its tasks would miss by waiting for it they need not.
+  // How long a machine of a zone that is apart may be silent, and not even a deputy hear it: it
+  // may well come back, but what its tasks would miss by waiting for it they need not.
   const patienceApart = (machine: Machine, silent: number): number => {
     const longest = 3 * timing.workerLease;
-    return silent > timing.silence && isMissed(state, machine, longest - silent, now)
-      ? timing.silence
+    return silent > timing.shortSilence && isMissed(state, machine, longest - silent, now)
+      ? timing.shortSilence
       : longest;
   };
   for (const machine of state.machines.values()) {
--- a/src/core/step.ts
+++ b/src/core/step.ts
@@ -163,7 +163,8 @@
     case 'relayed':
       for (const name of command.machines) {
         const machine = state.machines.get(name);
-        if (machine !== undefined) machine.relayedAt = now.mono;
+        if (machine !== undefined)
+          machine.relayedAt = Math.max(machine.relayedAt ?? 0, now.mono - command.ageMs);
       }
       break;
     case 'catalog':
--- a/src/deputy.ts
+++ b/src/deputy.ts
@@ -51,6 +51,18 @@
     return commands;
   }
 
+  /** Machines that this node has answered lately, in the leader's place. */
+  hears(): string[] {
+    this.#forget();
+    return [...this.#seen.keys()];
+  }
+
+  #forget(): void {
+    const now = this.clock.mono();
+    for (const [machine, at] of this.#seen)
+      if (now - at > 2 * this.timing.longestReport) this.#seen.delete(machine);
+  }
+
   #revision = 0;
 
   async #load(): Promise<void> {
@@ -88,21 +100,26 @@
     this.#seen.clear();
   }
 
-  /** Tells the leader, by way of the state service, whose workers are alive here. */
+  /**
+   * Tells the leader, by way of the state service, whose workers are alive here: at once when
+   * there are new ones, for until it knows they are silent to it, and else now and then.
+   */
   async #tell(): Promise<void> {
+    let told = 0;
+    let toldAt = -Infinity;
     while (this.#following) {
-      const now = this.clock.mono();
-      for (const [machine, at] of this.#seen)
-        if (now - at > 2 * this.timing.longestReport) this.#seen.delete(machine);
-      if (this.#seen.size > 0) {
+      const machines = this.hears();
+      const due = this.clock.mono() - toldAt > 2 * this.timing.longestReport;
+      if (machines.length > 0 && (due || machines.length > told)) {
         const at = this.clock.wall();
-        const parts = packMachines([...this.#seen.keys()], this.valueBytes);
-        for (const [part, machines] of parts.entries()) {
-          const value: DeputyRecord = { at, machines };
+        for (const [part, some] of packMachines(machines, this.valueBytes).entries()) {
+          const value: DeputyRecord = { at, machines: some };
           await this.state.commit({ when: [], apply: [{ put: deputyKey(this.node, part), value }] });
         }
+        toldAt = this.clock.mono();
+        told = machines.length;
       }
-      await this.clock.sleep(2 * this.timing.longestReport);
+      await this.clock.sleep(2 * this.timing.tick);
     }
   }
 }
--- a/src/node.ts
+++ b/src/node.ts
@@ -43,6 +43,8 @@
 
 const MOST_COUNTS = 500;
 const MOST_REDIRECTED = 5000;
+/** A peer message holds so many names of machines, beside all else. */
+const MOST_HEARD = 2000;
 
 function decodeJobs(entries: readonly Entry[]): Stamped<JobSpec>[] {
   const jobs: Stamped<JobSpec>[] = [];
@@ -264,6 +266,7 @@
       format: FORMAT,
       settledAt: this.#settledAt(),
       quiet: this.#quietZones(),
+      hears: state.leadership === null ? this.#deputy.hears().slice(0, MOST_HEARD) : [],
     };
   }
 
@@ -312,6 +315,7 @@
       this.#highestTerm = status.term;
       this.#owner.push({ kind: 'tokenSeen', token: status.term });
     }
+    if (status.hears.length > 0) this.#owner.push({ kind: 'relayed', machines: status.hears, ageMs: 0 });
     if (status.term >= this.#highestTerm) this.#learnQuiet(status, now);
     if (!status.leading || status.term < this.#highestTerm) return;
     if (this.#owner.state.leadership === null) this.#leader = status.node;
@@ -376,20 +380,23 @@
     const heard = leader === null ? undefined : this.#heard.get(leader);
     const reachable = heard !== undefined && now - heard.at < this.#timing.longestReport;
     const sent = this.#redirected.get(report.machine);
-    // Back after so long: it has tried the leader in vain, even if this node hears it. It is
-    // answered once and then sent again: kept here until its lease had passed by, it was
-    // silent to a leader that could hear it again, and given back alive with all its tasks.
+    // It takes a worker some seconds to try a node that does not answer: back after so long, it
+    // has tried the leader in vain, even if this node hears it; as have others of its zone if
+    // the leader calls that quiet. It is answered once and then sent again: kept here until its
+    // lease had passed by, it was silent to a leader that could hear it again, and given back alive.
     const inVain =
-      sent !== undefined && now - sent < this.#timing.workerLease && now - sent > this.#timing.longestReport;
+      sent === undefined
+        ? this.#quiet.has(report.zone)
+        : now - sent < this.#timing.workerLease && now - sent > 1.5 * this.#timing.longestReport;
     const token = this.#highestTerm;
+    if (this.#redirected.size > MOST_REDIRECTED) this.#redirected.clear();
     if (leader === null || token === 0 || report.token > token || (reachable && !inVain)) {
-      if (this.#redirected.size > MOST_REDIRECTED) this.#redirected.clear();
-      if (leader !== null && (sent === undefined || now - sent > this.#timing.longestReport))
+      if (leader !== null && (sent === undefined || now - sent > 1.5 * this.#timing.longestReport))
         this.#redirected.set(report.machine, now);
       done(421, encodeRedirect(leader));
       return;
     }
-    this.#redirected.delete(report.machine);
+    this.#redirected.set(report.machine, now);
     void this.#deputy.answer(report).then((commands) => {
       if (commands === null || this.#owner.state.leadership !== null || token !== this.#highestTerm)
         done(503, '{}');
@@ -402,20 +409,22 @@
     // Clocks agree within a bound, and a deputy speaks every other longest report.
     const young = 0.5 * this.#timing.workerLease + 2 * this.settings.cluster.clock_error_ms;
     for (;;) {
-      await this.#clock.sleep(2 * this.#timing.longestReport);
+      await this.#clock.sleep(4 * this.#timing.tick);
       const { leadership, machines } = this.#owner.state;
       if (leadership === null) continue;
       const now = this.#clock.mono();
-      const silent = [...machines.values()].some(
-        ({ heardAt, knownAt }) => now - (heardAt ?? knownAt) > 2 * this.#timing.longestReport,
-      );
-      if (!silent) continue;
+      let silent = 0;
+      for (const { heardAt, knownAt, listed } of machines.values())
+        if (listed !== 'booting' && now - (heardAt ?? knownAt) > 1.5 * this.#timing.longestReport)
+          silent += 1;
+      if (silent === 0) continue;
       const found = await this.#state.list(DEPUTY_PREFIX);
       if (found === 'unknown') continue;
       for (const { value } of found.entries) {
         const record = decodeDeputy(value);
-        if (record === null || Math.abs(this.#clock.wall() - record.at) > young) continue;
-        this.#owner.push({ kind: 'relayed', machines: record.machines });
+        if (record === null) continue;
+        const ageMs = Math.max(0, this.#clock.wall() - record.at);
+        if (ageMs < young) this.#owner.push({ kind: 'relayed', machines: record.machines, ageMs });
       }
     }
   }
--- a/src/settings.ts
+++ b/src/settings.ts
@@ -134,8 +134,8 @@
   const lease = lease_s * 1000;
   const report = report_s * 1000;
   return {
-    leaderLease: Math.max(1000, 0.3 * lease),
-    renewEvery: Math.max(250, 0.07 * lease),
+    leaderLease: Math.max(1000, 0.2 * lease),
+    renewEvery: Math.max(250, 0.05 * lease),
     // A tenth of cancel_s is the margin for late timers, drifting clocks and the
     // worker's own reaction.
     authority: Math.max(0, (0.9 * cancel_s - lease_s) * 1000),
--- a/src/wire/peers.ts
+++ b/src/wire/peers.ts
@@ -24,6 +24,8 @@
   readonly settledAt: number;
   /** Zones of which the leader hears nobody, and for how long; as far as this node knows. */
   readonly quiet: readonly QuietZone[];
+  /** Machines that this node answers in the leader's place; bounded. */
+  readonly hears: readonly string[];
 }
 
 export interface QuietZone {
@@ -58,6 +60,7 @@
         format: { type: 'uint32', id: 7 },
         settledAt: { type: 'double', id: 8 },
         quiet: { rule: 'repeated', type: 'QuietZone', id: 9 },
+        hears: { rule: 'repeated', type: 'string', id: 10 },
       },
     },
   },
--- a/test/leading.test.ts
+++ b/test/leading.test.ts
@@ -61,3 +61,25 @@
   expect(world.checker.broken).toEqual([]);
   expect(world.checker.unfinished()).toEqual([]);
 });
+
+// The leader learned of what its deputies answered up to 17 s late, and gave back 61 machines
+// alive with 441 tasks, which it alone could not hear.
+test('a leader that loses all workers for a while gives none of them back, and none loses its lease', async () => {
+  const world = new World(seeded(8));
+  await world.clock.runUntil(3000);
+  const job = { id: 'req-000001', team: 'crew', tasks: 60, cpus: 8, memoryGb: 2, spot: true };
+  void world.user({ ...job, zone: 'a', oneZone: false, spread: false }, null);
+  await world.clock.runUntil(15_000);
+  const workers = [...world.cloud.workers.values()];
+  expect(workers.length).toBeGreaterThan(3);
+  const [leader] = world.leaders();
+  for (const { listed } of workers) world.network.cut(leader ?? '', listed.name, 25_000);
+  await world.clock.runUntil(39_000);
+  expect(world.leaders()).toEqual([leader]);
+  expect(workers.map(({ gone, session }) => ({ gone, session }))).toEqual(
+    workers.map(() => ({ gone: false, session: 1 })),
+  );
+  await world.clock.runUntil(120_000);
+  expect(world.checker.broken).toEqual([]);
+  expect(world.checker.unfinished()).toEqual([]);
+});
--- a/test/upgrade.test.ts
+++ b/test/upgrade.test.ts
@@ -75,6 +75,7 @@
     format: 2,
     settledAt: 1e12,
     quiet: [],
+    hears: [],
   });
   expect(earlier.toObject(earlier.decodeDelimited(own))).toMatchObject({ node: 'n-1', term: 8 });
 });
--- a/test/wire.test.ts
+++ b/test/wire.test.ts
@@ -15,6 +15,7 @@
   format: 2,
   settledAt: 12.5,
   quiet: [{ zone: 'b', ageMs: 1500 }],
+  hears: ['vm-1'],
 };
 
 test('peer messages survive any cutting of the stream', () => {
