--- a/build.mjs
+++ b/build.mjs
@@ -19,6 +19,7 @@
   minifySyntax: true,
   banner: { js: '#!/usr/bin/env node' },
 });
-if (process.argv.includes('--standins')) {
-  await build({ ...common, entryPoints: ['test/standins/serve.ts'], outfile: 'target/standins.cjs' });
+for (const name of ['standins', 'demo']) {
+  if (!process.argv.includes(`--${name}`)) continue;
+  await build({ ...common, entryPoints: [`test/standins/${name}.ts`], outfile: `target/${name}.cjs` });
 }
--- /dev/null
+++ b/test/standins/demo.ts
@@ -0,0 +1,119 @@
+/**
+ * The main job, from nothing to its end: the stand-ins, three controllers on loopback, a job
+ * followed to `done`, its leader killed on the way. Ends what it started, also on Ctrl-C.
+ */
+import { spawn, type ChildProcess } from 'node:child_process';
+import { createServer } from 'node:net';
+import { setTimeout as sleep } from 'node:timers/promises';
+import { HttpClient } from '../../src/adapters/http.js';
+import { asObject, isText } from '../../src/core/values.js';
+import { parseAddress } from '../../src/settings.js';
+import { demoJob, settings, startStandins } from './serve.js';
+
+const FOLDER = 'target/demo';
+const PROGRAM = 'target/rowanferry.cjs';
+const GIVE_UP_MS = 120_000;
+
+const children = new Map<string, ChildProcess>();
+const say = (line: string): void => void process.stdout.write(`${line}\n`);
+
+function end(code: number): never {
+  for (const child of children.values()) child.kill('SIGKILL');
+  process.exit(code);
+}
+
+function fail(reason: string): never {
+  process.stderr.write(`demo: ${reason}\n`);
+  end(1);
+}
+
+/** Why an address cannot be listened on, or null. */
+function trouble(address: string): Promise<string | null> {
+  const { host, port } = parseAddress(address);
+  return new Promise((resolve) => {
+    const probe = createServer();
+    probe.once('error', (error: NodeJS.ErrnoException) =>
+      resolve(error.code === 'EADDRINUSE' ? `${address} is in use by another program` : error.message),
+    );
+    probe.listen(port, host, () => probe.close(() => resolve(null)));
+  });
+}
+
+function start(name: string, index: number): void {
+  const child = spawn(process.execPath, [PROGRAM, 'serve', '--settings', `${FOLDER}/node-${index}.json`], {
+    stdio: 'ignore',
+    env: { ...process.env, LOG_LEVEL: 'error' },
+  });
+  child.on('exit', () => children.delete(name));
+  children.set(name, child);
+}
+
+const clients = settings.map((one) => new HttpClient(parseAddress(one.public_addr), 2));
+
+/** Asks one node after the other until one answers as wished. */
+async function ask(method: string, path: string, body: string | null): Promise<Record<string, unknown>> {
+  const until = Date.now() + GIVE_UP_MS;
+  for (let turn = 0; Date.now() < until; turn += 1) {
+    const answer = await clients[turn % clients.length]?.call(method, path, body, 2000);
+    const told = asObject(answer?.body);
+    if (answer !== undefined && answer.status >= 200 && answer.status < 300 && told !== null) return told;
+    await sleep(300);
+  }
+  fail('no controller answers');
+}
+
+async function leader(): Promise<string> {
+  const until = Date.now() + GIVE_UP_MS;
+  while (Date.now() < until) {
+    const told = (await ask('GET', '/status', null))['leader'];
+    if (isText(told) && children.has(told)) return told;
+    await sleep(300);
+  }
+  fail('no leader was elected');
+}
+
+async function main(): Promise<void> {
+  for (const one of settings)
+    for (const address of [one.public_addr, one.peer_bind, one.endpoints.state]) {
+      const reason = await trouble(address);
+      if (reason !== null) fail(reason);
+    }
+  await startStandins(FOLDER);
+  say('stand-ins for the state service and the cloud are up');
+  settings.forEach(({ host_name }, i) => start(host_name, i));
+  const first = await leader();
+  say(`three controllers are up; ${first} leads`);
+  const id = String(demoJob.nameId);
+  await ask('POST', '/v2/runs', JSON.stringify({ ...demoJob, movements: 24 }));
+  say(`${id} is accepted: 24 tasks of ${demoJob.cores} cores`);
+  let killed: string | null = null;
+  let before = '';
+  const until = Date.now() + GIVE_UP_MS;
+  while (Date.now() < until) {
+    const { stage, done, running } = await ask('GET', `/v2/runs/${id}`, null);
+    const line = `${String(stage)}: ${String(done ?? 0)} done, ${String(running ?? 0)} running`;
+    if (line !== before) say(`  ${line}`);
+    before = line;
+    if (stage === 'done') {
+      say(`${id} is done, every task once; ${await leader()} leads`);
+      return;
+    }
+    if (killed === null && stage === 'running') {
+      killed = await leader();
+      say(`killing ${killed}, which leads`);
+      children.get(killed)?.kill('SIGKILL');
+    }
+    await sleep(1000);
+  }
+  fail(`${id} was not done within ${GIVE_UP_MS / 1000} s`);
+}
+
+process.on('SIGINT', () => end(130));
+process.on('SIGTERM', () => end(143));
+process.on('exit', () => {
+  for (const child of children.values()) child.kill('SIGKILL');
+});
+void main().then(
+  () => end(0),
+  (error: unknown) => fail(error instanceof Error ? error.message : String(error)),
+);
