--- /dev/null
+++ b/src/common.ts
@@ -0,0 +1,43 @@
+/** What the parts of a node have in common: its ports, and who leads as far as it knows. */
+import type { Cloud } from './adapters/cloud.js';
+import type { StateService } from './adapters/state.js';
+import type { Workers } from './adapters/workers.js';
+import type { Clock } from './clock.js';
+import type { PolicyFigures } from './core/state.js';
+import type { Log } from './logging.js';
+import type { Owner } from './owner.js';
+import type { PlatformSettings, Timing } from './settings.js';
+
+/** What a controller needs of the world around it. */
+export interface Ports {
+  readonly state: StateService;
+  readonly cloud: Cloud;
+  readonly workers: Workers;
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly policy: PolicyFigures;
+  /** Names this life of the node, and no other. */
+  readonly incarnation: string;
+}
+
+export interface Standing {
+  /** The node that leads, as far as this one knows. */
+  leader: string | null;
+  highestTerm: number;
+  /** The term this node was elected for and still means to lead; 0: none. */
+  leadingTerm: number;
+}
+
+export interface Common {
+  readonly settings: PlatformSettings;
+  readonly timing: Timing;
+  readonly ports: Ports;
+  readonly owner: Owner;
+  readonly standing: Standing;
+}
+
+/** Milliseconds since the state service last answered this node. */
+export function stateAgeMs({ ports: { state, clock } }: Common): number {
+  const contact = state.contactAt();
+  return contact === null ? 0xffffffff : Math.max(0, Math.round(clock.mono() - contact));
+}
--- /dev/null
+++ b/src/leading.ts
@@ -0,0 +1,271 @@
+/** Leading: what the leaders before have committed is loaded, then the jobs are followed. */
+import { readJob } from './adapters/users.js';
+import type { Common } from './common.js';
+import type { LoadedChunk, Recheck } from './core/effects.js';
+import {
+  decodeChunk,
+  decodeDeputy,
+  decodeFormat,
+  decodeJob,
+  decodeMemory,
+  DEPUTY_PREFIX,
+  FORMAT_KEY,
+  JOB_PREFIX,
+  jobOfKey,
+  MEMORY_KEY,
+  MEMORY_PREFIX,
+  parseChunkKey,
+  RUN_PREFIX,
+  TERM_KEY,
+  type ClassMemory,
+  type FormatRecord,
+} from './core/records.js';
+import type { EndedRecord, JobSpec, Stamped } from './core/types.js';
+import type { Elected } from './election.js';
+import type { Peering } from './peering.js';
+import type { PlatformSettings } from './settings.js';
+import { firstLayout, formatRecord, lastingLayout } from './upgrade.js';
+import type { Entry } from './wire/state.js';
+
+function decodeJobs(entries: readonly Entry[]): Stamped<JobSpec>[] {
+  const jobs: Stamped<JobSpec>[] = [];
+  for (const { value, stamp } of entries) {
+    const spec = decodeJob(value);
+    if (spec !== null) jobs.push({ value: spec, stamp });
+  }
+  return jobs;
+}
+
+/**
+ * Workers that lose their node try the next one, and give each some seconds. When zones
+ * part, those of the far zone find a deputy within their lease only if the node after
+ * the leader is in another zone than the leader. Nodes of which this is so are to lead.
+ */
+function wellPlaced(settings: PlatformSettings): Set<string> {
+  const { host_name, zone, others } = settings;
+  const nodes = [{ host_name, zone }, ...others].sort((a, b) => (a.host_name < b.host_name ? -1 : 1));
+  const several = nodes.some((node) => node.zone !== zone);
+  const found = nodes.filter((node, i) => !several || nodes[(i + 1) % nodes.length]?.zone !== node.zone);
+  return new Set(found.map((node) => node.host_name));
+}
+
+export class Leading {
+  readonly #wellPlaced: ReadonlySet<string>;
+
+  constructor(
+    private readonly common: Common,
+    private readonly peering: Peering,
+  ) {
+    this.#wellPlaced = wellPlaced(common.settings);
+  }
+
+  /** Whether this node is one of those that are to lead. */
+  get isWellPlaced(): boolean {
+    return this.#wellPlaced.has(this.common.settings.host_name);
+  }
+
+  start(): void {
+    void this.#keepCatalog();
+    void this.#keepList();
+    void this.#keepRelays();
+  }
+
+  /** Whether a node that is to lead rather than this one has been back, and served, for a while. */
+  shouldHandOver(): boolean {
+    const { leadership, machines } = this.common.owner.state;
+    const now = this.common.ports.clock.mono();
+    const settled = 0.4 * this.common.timing.workerLease;
+    if (leadership === null || this.isWellPlaced) return false;
+    if (now - leadership.since < settled) return false;
+    // The next leader would wait anew for machines that are silent, and their tasks with them.
+    if ([...machines.values()].some(({ heardAt, claims }) => heardAt === null && claims.size > 0))
+      return false;
+    return this.peering.isBack(this.#wellPlaced, settled);
+  }
+
+  /** Loads what the leaders before have committed, then follows the jobs. */
+  async lead(won: Elected): Promise<void> {
+    this.common.standing.highestTerm = Math.max(this.common.standing.highestTerm, won.term);
+    this.common.standing.leader = this.common.settings.host_name;
+    this.common.standing.leadingTerm = won.term;
+    this.common.ports.log.info({ term: won.term }, 'elected');
+    for (;;) {
+      const sentAt = this.common.ports.clock.mono();
+      const [jobs, runs, memory, format] = await Promise.all([
+        this.common.ports.state.list(JOB_PREFIX),
+        this.common.ports.state.list(RUN_PREFIX),
+        this.#readMemory(),
+        this.#readFormat(won.stamp),
+      ]);
+      if (this.common.standing.leadingTerm !== won.term || this.common.standing.highestTerm > won.term)
+        return;
+      if (jobs === 'unknown' || runs === 'unknown' || memory === 'unknown' || format === 'unknown') {
+        await this.common.ports.clock.sleep(this.common.timing.tick);
+        continue;
+      }
+      const chunks: LoadedChunk[] = [];
+      for (const { key, value, stamp } of runs.entries) {
+        const name = parseChunkKey(key);
+        const record = decodeChunk(value);
+        if (name !== null && record !== null)
+          chunks.push({ job: name.job, name, record: { value: record, stamp } });
+      }
+      const { term, stamp } = won;
+      this.common.owner.push({
+        kind: 'lead',
+        term,
+        stamp,
+        provenAt: sentAt,
+        layout:
+          format === null ? firstLayout(this.common.settings) : lastingLayout(this.common.settings, format),
+        wide: format?.wide ?? firstLayout(this.common.settings).tasks,
+        jobs: decodeJobs(jobs.entries),
+        chunks,
+        memory,
+        quiet: this.peering.quietOfLate(),
+      });
+      await this.#follow(term, jobs.revision);
+      return;
+    }
+  }
+
+  /** What classes have shown, as either version keeps it. */
+  async #readMemory(): Promise<ClassMemory[] | 'unknown'> {
+    const [whole, parts] = await Promise.all([
+      this.common.ports.state.read(MEMORY_KEY),
+      this.common.ports.state.list(MEMORY_PREFIX),
+    ]);
+    if (whole === 'unknown' || parts === 'unknown') return 'unknown';
+    // The later ones count where a class stands in several.
+    return [whole.entry?.value, ...parts.entries.map(({ value }) => value)].flatMap(decodeMemory);
+  }
+
+  /** The format in force, null if it is not; one whose width has become too large is written anew. */
+  async #readFormat(termStamp: number): Promise<FormatRecord | null | 'unknown'> {
+    const read = await this.common.ports.state.read(FORMAT_KEY);
+    if (read === 'unknown') return 'unknown';
+    const known = decodeFormat(read.entry?.value);
+    if (known === null || read.entry === null) return null;
+    const record = formatRecord(this.common.settings, known);
+    if (record.tasks === known.tasks) return known;
+    const outcome = await this.common.ports.state.commit({
+      when: [
+        { key: TERM_KEY, stamp: termStamp },
+        { key: FORMAT_KEY, stamp: read.entry.stamp },
+      ],
+      apply: [{ put: FORMAT_KEY, value: record }],
+    });
+    return outcome.kind === 'applied' ? record : 'unknown';
+  }
+
+  /** Watches the jobs while this node leads; each answer proves how fresh its view is. */
+  async #follow(term: number, revision: number): Promise<void> {
+    let after = revision;
+    while (this.common.standing.leadingTerm === term) {
+      const sentAt = this.common.ports.clock.mono();
+      const found = await this.common.ports.state.watch(JOB_PREFIX, after, this.common.timing.watchWait);
+      if (found.kind === 'unknown') {
+        await this.common.ports.clock.sleep(this.common.timing.tick);
+      } else if (found.kind === 'tooOld') {
+        const jobs = await this.common.ports.state.list(JOB_PREFIX);
+        if (jobs === 'unknown') continue;
+        after = jobs.revision;
+        this.common.owner.push({
+          kind: 'jobsReplaced',
+          jobs: decodeJobs(jobs.entries),
+          revision: jobs.revision,
+        });
+        this.common.owner.push({ kind: 'proof', sentAt });
+      } else {
+        after = found.revision;
+        for (const { key, value, stamp } of found.changes) {
+          const spec = decodeJob(value);
+          if (value === undefined) this.common.owner.push({ kind: 'jobRemoved', id: jobOfKey(key) });
+          else if (spec !== null) this.common.owner.push({ kind: 'jobAdded', job: { value: spec, stamp } });
+        }
+        this.common.owner.push({ kind: 'proof', sentAt });
+      }
+    }
+  }
+
+  /** How awaited jobs stand, by the committed records. */
+  async resolve(ids: readonly string[]): Promise<void> {
+    const found = await Promise.all(
+      ids.map(async (id) => {
+        const job = await readJob(this.common.ports.state, id);
+        return [id, job.kind === 'ended' ? job.record : job.kind] as const;
+      }),
+    );
+    this.common.owner.push({ kind: 'resolved', found: new Map(found) });
+  }
+
+  async recheck(ids: readonly string[], keys: readonly string[]): Promise<void> {
+    const jobs = new Map<string, { live: boolean; ended: EndedRecord | null }>();
+    const chunks = new Map<string, number>();
+    let whole = true;
+    for (const id of ids) {
+      const job = await readJob(this.common.ports.state, id);
+      if (job.kind === 'unknown') whole = false;
+      else jobs.set(id, { live: job.kind === 'live', ended: job.kind === 'ended' ? job.record : null });
+      if (!whole) break;
+    }
+    for (const key of whole ? keys : []) {
+      const read = await this.common.ports.state.read(key);
+      if (read === 'unknown') whole = false;
+      else if (read.entry !== null) chunks.set(key, read.entry.stamp);
+      if (!whole) break;
+    }
+    if (!whole) await this.common.ports.clock.sleep(this.common.timing.tick);
+    this.common.owner.push({ kind: 'rechecked', found: whole ? ({ jobs, chunks } satisfies Recheck) : null });
+  }
+
+  /** Reads, while some machine is silent, which of them deputies hear. */
+  async #keepRelays(): Promise<void> {
+    // Clocks agree within a bound, and a deputy speaks every other longest report.
+    const young = 0.5 * this.common.timing.workerLease + 2 * this.common.settings.cluster.clock_error_ms;
+    for (;;) {
+      await this.common.ports.clock.sleep(4 * this.common.timing.tick);
+      const { leadership, machines } = this.common.owner.state;
+      if (leadership === null) continue;
+      const now = this.common.ports.clock.mono();
+      let silent = 0;
+      for (const { heardAt, knownAt, listed } of machines.values())
+        if (listed !== 'booting' && now - (heardAt ?? knownAt) > 1.5 * this.common.timing.longestReport)
+          silent += 1;
+      if (silent === 0) continue;
+      const found = await this.common.ports.state.list(DEPUTY_PREFIX);
+      if (found === 'unknown') continue;
+      for (const { value } of found.entries) {
+        const record = decodeDeputy(value);
+        if (record === null) continue;
+        const ageMs = Math.max(0, this.common.ports.clock.wall() - record.at);
+        if (ageMs < young) this.common.owner.push({ kind: 'relayed', machines: record.machines, ageMs });
+      }
+    }
+  }
+
+  async #keepCatalog(): Promise<void> {
+    for (;;) {
+      const types = await this.common.ports.cloud.catalog();
+      if (types !== null) this.common.owner.push({ kind: 'catalog', types });
+      await this.common.ports.clock.sleep(
+        types === null ? this.common.timing.tick : 6 * this.common.timing.workerLease,
+      );
+    }
+  }
+
+  async #keepList(): Promise<void> {
+    const pause = Math.max(
+      this.common.timing.longestReport,
+      (this.common.settings.cluster.cloud.list_lag_s * 1000) / 4,
+    );
+    for (;;) {
+      if (this.common.owner.state.leadership !== null) {
+        const askedAt = this.common.ports.clock.mono();
+        const machines = await this.common.ports.cloud.machines();
+        if (machines !== null) this.common.owner.push({ kind: 'listed', askedAt, machines });
+      }
+      await this.common.ports.clock.sleep(pause);
+    }
+  }
+}
--- /dev/null
+++ b/src/peering.ts
@@ -0,0 +1,173 @@
+/** Talking with the other controllers: what they are told, and what of theirs is believed. */
+import { stateAgeMs, type Common } from './common.js';
+import { FORMAT } from './core/records.js';
+import { settledUntil } from './core/pipelines.js';
+import type { JobCount, PeerStatus, QuietZone } from './wire/peers.js';
+
+const MOST_COUNTS = 500;
+/** A peer message holds so many names of machines, beside all else. */
+const MOST_HEARD = 2000;
+
+interface HeardStatus {
+  readonly status: PeerStatus;
+  readonly at: number;
+  /** Steady time from which this life of it has been heard without a gap. */
+  readonly since: number;
+}
+
+export class Peering {
+  readonly #counts = new Map<string, JobCount>();
+  readonly #heard = new Map<string, HeardStatus>();
+  /** Zones of which the leader heard nobody, and the steady time since. */
+  readonly #quiet = new Map<string, number>();
+
+  constructor(
+    private readonly common: Common,
+    /** Machines that this node answers in the leader's place. */
+    private readonly hears: () => string[],
+  ) {}
+
+  /** Whether a peer has been heard within the longest report, as far as this node goes. */
+  isReachable(node: string): boolean {
+    const heard = this.#heard.get(node);
+    return (
+      heard !== undefined && this.common.ports.clock.mono() - heard.at < this.common.timing.longestReport
+    );
+  }
+
+  /** Whether a peer of an earlier format has been heard of late. */
+  hearsEarlier(): boolean {
+    const now = this.common.ports.clock.mono();
+    return [...this.#heard.values()].some(
+      ({ status, at }) => status.format < FORMAT && now - at < this.common.timing.workerLease,
+    );
+  }
+
+  /** Whether one of some peers has been heard without a gap, and served by the state service, for so long. */
+  isBack(nodes: ReadonlySet<string>, settled: number): boolean {
+    const now = this.common.ports.clock.mono();
+    return [...this.#heard.values()].some(
+      ({ status, at, since }) =>
+        nodes.has(status.node) &&
+        now - at < this.common.timing.longestReport &&
+        now - since > settled &&
+        status.stateAgeMs < this.common.timing.stateTimeout,
+    );
+  }
+
+  /** Whether the leader hears nobody of a zone, as far as this node knows. */
+  isQuiet(zone: string): boolean {
+    return this.#quiet.has(zone);
+  }
+
+  /** Zones of which leaders of late heard nobody, and the steady time since. */
+  quietOfLate(): Map<string, number> {
+    const from = this.common.ports.clock.mono() - 3 * this.common.timing.workerLease;
+    return new Map([...this.#quiet].filter(([, since]) => since > from));
+  }
+
+  countOf(id: string): { done: number; running: number } | null {
+    const job = this.common.owner.state.jobs.get(id);
+    if (this.common.owner.state.leadership === null || job === undefined) return this.#counts.get(id) ?? null;
+    return { done: job.doneCount, running: job.running };
+  }
+
+  term(): number {
+    return this.common.owner.state.leadership?.term ?? this.common.standing.highestTerm;
+  }
+
+  /** What the other nodes are told; it counts the tasks of all jobs, so nothing else asks for it. */
+  status(): PeerStatus {
+    const { state } = this.common.owner;
+    const counts: JobCount[] = [];
+    if (state.leadership !== null) {
+      for (const [id, job] of state.jobs) {
+        if (job.over !== null || counts.length >= MOST_COUNTS) continue;
+        counts.push({ id, ...(this.countOf(id) ?? { done: 0, running: 0 }) });
+      }
+    }
+    return {
+      node: this.common.settings.host_name,
+      incarnation: this.common.ports.incarnation,
+      term: this.term(),
+      leading: state.leadership !== null,
+      stateAgeMs: stateAgeMs(this.common),
+      counts,
+      format: FORMAT,
+      settledAt: this.#settledAt(),
+      quiet: this.#quietZones(),
+      hears: state.leadership === null ? this.hears().slice(0, MOST_HEARD) : [],
+    };
+  }
+
+  /** What is known of zones that nobody is heard of: by this node as the leader, or from one. */
+  #quietZones(): QuietZone[] {
+    const { state } = this.common.owner;
+    const now = this.common.ports.clock.mono();
+    const known = state.leadership === null ? this.#quiet : state.quiet;
+    return [...known].map(([zone, since]) => ({ zone, ageMs: Math.max(0, Math.round(now - since)) }));
+  }
+
+  /** Takes over what a peer knows of quiet zones; it grows old by itself once nobody tells of it. */
+  #learnQuiet(status: PeerStatus, now: number): void {
+    if (status.leading) this.#quiet.clear();
+    for (const { zone, ageMs } of status.quiet) {
+      const since = now - ageMs;
+      if (status.leading || (this.#quiet.get(zone) ?? -Infinity) < since) this.#quiet.set(zone, since);
+    }
+  }
+
+  /** Time of day up to which cancellations have gone through their pipelines; 0 without leading. */
+  #settledAt(): number {
+    const { state } = this.common.owner;
+    if (state.leadership === null) return 0;
+    return this.common.ports.clock.wall() - (this.common.ports.clock.mono() - settledUntil(state));
+  }
+
+  /**
+   * Whether a leader vouches, freshly enough for the bound on cancellations, that no waiting
+   * job needs one that was cancelled. Its word may have been held back: the time of day tells.
+   */
+  isSettled(): boolean {
+    const fresh = this.common.timing.cancel / 2 - 2 * this.common.settings.cluster.clock_error_ms;
+    const now = this.common.ports.clock.wall();
+    if (now - this.#settledAt() < fresh) return true;
+    return [...this.#heard.values()].some(({ status }) => status.leading && now - status.settledAt < fresh);
+  }
+
+  onPeer(status: PeerStatus): void {
+    const now = this.common.ports.clock.mono();
+    const before = this.#heard.get(status.node);
+    const same =
+      before?.status.incarnation === status.incarnation &&
+      now - before.at < 2 * this.common.timing.longestReport;
+    this.#heard.set(status.node, { status, at: now, since: same ? before.since : now });
+    if (status.term > this.common.standing.highestTerm) {
+      this.common.standing.highestTerm = status.term;
+      this.common.owner.push({ kind: 'tokenSeen', token: status.term });
+    }
+    if (status.hears.length > 0)
+      this.common.owner.push({ kind: 'relayed', machines: status.hears, ageMs: 0 });
+    if (status.term >= this.common.standing.highestTerm) this.#learnQuiet(status, now);
+    if (!status.leading || status.term < this.common.standing.highestTerm) return;
+    if (this.common.owner.state.leadership === null) this.common.standing.leader = status.node;
+    this.#counts.clear();
+    for (const count of status.counts) this.#counts.set(count.id, count);
+  }
+
+  /**
+   * A node that the state service alone refuses sends users elsewhere. When nobody is
+   * served, staying is better: each removal by the load balancer costs a growing pause.
+   */
+  ready(): boolean {
+    const { state } = this.common.owner;
+    if (state.types.size === 0) return false;
+    const stale = 2 * this.common.timing.stateTimeout;
+    if (stateAgeMs(this.common) < stale) return true;
+    const now = this.common.ports.clock.mono();
+    for (const { status, at } of this.#heard.values()) {
+      if (now - at < stale / 2 && status.stateAgeMs < stale / 2) return false;
+    }
+    return true;
+  }
+}
