Users' requests under way are bounded; refusals come at once and spread the return

Need: after an outage polls and resubmissions of hundreds of jobs come at once; nothing bounded how many waited for the state service, and all were told to come back after the same second. Change: `Admission` (polls give way first; Retry-After of 1 to 10 s by how many were refused of late).

--- /dev/null
+++ b/src/adapters/admission.ts
@@ -0,0 +1,56 @@
+/**
+ * How many users' requests are under way at once. A node that waits for the state service, or
+ * for its own processor, says so at once rather than pile up what it cannot serve; polls
+ * give way before submissions and cancellations. Who is refused is told when to come back,
+ * the later the more were refused of late, and not all at the same time.
+ */
+import type { Clock } from '../clock.js';
+
+export type RequestKind = 'submit' | 'withdraw' | 'show';
+
+/** Share of the requests under way that polls may be. */
+const POLL_SHARE = 0.75;
+/** Nobody is told to stay away for longer, in seconds. */
+const LONGEST_AWAY = 10;
+const LEAST = 16;
+
+export class Admission {
+  #underWay = 0;
+  #refused = 0;
+  #since: number;
+
+  constructor(
+    private readonly clock: Clock,
+    /** Requests under way at once, at most. */
+    private readonly most: number,
+  ) {
+    this.most = Math.max(LEAST, Math.floor(most));
+    this.#since = clock.mono();
+  }
+
+  /** Takes a request in (null), or says in how many seconds it may be made again. */
+  enter(kind: RequestKind): number | null {
+    const most = kind === 'show' ? POLL_SHARE * this.most : this.most;
+    if (this.#underWay < most) {
+      this.#underWay += 1;
+      return null;
+    }
+    return this.away();
+  }
+
+  leave(): void {
+    this.#underWay -= 1;
+  }
+
+  /** When one that cannot be served now is to come back, in seconds. */
+  away(): number {
+    const now = this.clock.mono();
+    if (now - this.#since > 1000) {
+      this.#refused = 0;
+      this.#since = now;
+    }
+    this.#refused += 1;
+    const spread = Math.min(LONGEST_AWAY, 1 + Math.floor(this.#refused / this.most));
+    return 1 + (this.#refused % spread);
+  }
+}
--- a/src/adapters/server.ts
+++ b/src/adapters/server.ts
@@ -3,6 +3,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { parseJson } from '../core/values.js';
 import type { Latencies } from '../latency.js';
+import type { Admission, RequestKind } from './admission.js';
 import type { UserAnswer, Users } from './users.js';
 
 const MOST_BODY = 64 * 1024;
@@ -15,15 +16,16 @@
   ready(): boolean;
   describe(): object;
   readonly latencies: Pick<Latencies, 'record'>;
+  readonly admission: Admission;
 }
 
-function sendJson(response: ServerResponse, status: number, body: string): void {
+function sendJson(response: ServerResponse, status: number, body: string, awayS = 1): void {
   if (response.writableEnded || response.destroyed) return;
   const headers: Record<string, string | number> = {
     'Content-Type': 'application/json',
     'Content-Length': Buffer.byteLength(body),
   };
-  if (status === 429 || status === 503) headers['Retry-After'] = '1';
+  if (status === 429 || status === 503) headers['Retry-After'] = String(awayS);
   response.writeHead(status, headers).end(body);
 }
 
@@ -41,8 +43,7 @@
   request.on('error', () => response.destroy());
 }
 
-const reply = (response: Response, answer: UserAnswer): void =>
-  sendJson(response, answer.status, JSON.stringify(answer.body));
+const BUSY = '{"error":"too many requests under way, try again"}';
 
 const notAllowed: RequestHandler = (_request, response) =>
   sendJson(response, 405, '{"error":"method not allowed"}');
@@ -60,10 +61,25 @@
 
 export function createPublicServer(served: Served, sockets: number): Server {
   const { users } = served;
-  const timed = async (kind: string, response: Response, answer: Promise<UserAnswer>): Promise<void> => {
+  const serve = async (
+    kind: RequestKind,
+    response: Response,
+    ask: () => Promise<UserAnswer>,
+  ): Promise<void> => {
+    const { admission } = served;
+    const awayS = admission.enter(kind);
+    if (awayS !== null) {
+      sendJson(response, 503, BUSY, awayS);
+      return;
+    }
     const from = performance.now();
-    reply(response, await answer);
-    served.latencies.record(kind, performance.now() - from);
+    try {
+      const { status, body } = await ask();
+      sendJson(response, status, JSON.stringify(body), status === 503 ? admission.away() : 1);
+    } finally {
+      admission.leave();
+      served.latencies.record(kind, performance.now() - from);
+    }
   };
   const app = express();
   app.disable('x-powered-by');
@@ -75,15 +91,15 @@
     .all(notAllowed);
   app
     .route('/v2/runs')
-    .post(body, (request, response) => timed('submit', response, users.submit(request.body as unknown)))
+    .post(body, (request, response) => serve('submit', response, () => users.submit(request.body as unknown)))
     .all(notAllowed);
   app
     .route('/v2/runs/:id')
-    .get((request, response) => timed('show', response, users.show(request.params.id)))
+    .get((request, response) => serve('show', response, () => users.show(request.params.id)))
     .all(notAllowed);
   app
     .route('/v2/runs/:id/withdraw')
-    .post((request, response) => timed('withdraw', response, users.withdraw(request.params.id)))
+    .post((request, response) => serve('withdraw', response, () => users.withdraw(request.params.id)))
     .all(notAllowed);
   app
     .route('/status')
--- a/src/node.ts
+++ b/src/node.ts
@@ -1,4 +1,5 @@
 /** One controller: the owner, and the parts around it that lead, follow, talk with peers and serve users. */
+import { Admission } from './adapters/admission.js';
 import { Users } from './adapters/users.js';
 import { stateAgeMs, type Common, type Ports, type Standing } from './common.js';
 import { FORMAT, LEADER_KEY } from './core/records.js';
@@ -23,6 +24,7 @@
 export class ControllerNode {
   readonly users: Users;
   readonly latencies = new Latencies();
+  readonly admission: Admission;
   readonly #common: Common;
   readonly #peering: Peering;
   readonly #leading: Leading;
@@ -78,6 +80,8 @@
         owner.push({ kind: 'adopt', layout: lastingLayout(settings, record) });
       },
     });
+    // So many as the state service could answer within a quarter of what one request may take.
+    this.admission = new Admission(clock, (settings.cluster.state.rps * times.stateTimeout) / 4000);
     this.users = new Users({
       valueBytes: value_kb * 1024,
       conditions: 4 * txn_ops,
--- a/test/server.test.ts
+++ b/test/server.test.ts
@@ -3,6 +3,7 @@
 import type { AddressInfo } from 'node:net';
 import { afterAll, beforeAll, expect, test } from 'vitest';
 import { HttpClient, type Answer } from '../src/adapters/http.js';
+import { Admission } from '../src/adapters/admission.js';
 import { createPublicServer } from '../src/adapters/server.js';
 import { Users } from '../src/adapters/users.js';
 import { systemClock } from '../src/clock.js';
@@ -50,6 +51,7 @@
     ready: () => true,
     describe: () => ({ fine: true }),
     latencies: { record: () => undefined },
+    admission: new Admission(systemClock, 100),
   },
   100,
 );
@@ -225,3 +227,19 @@
   expect((await client.call('POST', '/v1/report', 'garbage', 5000)).status).toBe(400);
   expect((await get('/ready')).status).toBe(200);
 });
+
+// Thousands of polls at once, as after an outage, piled up behind a state service that did not answer.
+test('more requests than can be served are refused at once, polls first, and told to come back apart', () => {
+  let now = 0;
+  const admission = new Admission({ ...systemClock, mono: () => now }, 20);
+  const enter = (kind: 'submit' | 'show', count: number): (number | null)[] =>
+    Array.from({ length: count }, () => admission.enter(kind));
+  expect(enter('show', 16).filter((away) => away === null)).toHaveLength(15);
+  expect(enter('submit', 6).filter((away) => away === null)).toHaveLength(5);
+  const away = new Set(enter('show', 200));
+  expect([...away].every((seconds) => seconds !== null && seconds >= 1 && seconds <= 10)).toBe(true);
+  expect(away.size).toBe(10);
+  for (let i = 0; i < 20; i += 1) admission.leave();
+  now += 2000;
+  expect(enter('show', 1)).toEqual([null]);
+});
