--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -462,6 +462,13 @@
   }
 }
 
+/** Whether no machine at all has been heard of late. */
+function heardNobody(state: CoreState, now: Now): boolean {
+  const from = now.mono - 3 * state.rules.timing.longestReport;
+  for (const { heardAt } of state.machines.values()) if (heardAt !== null && heardAt > from) return false;
+  return true;
+}
+
 /** Whether something on a machine that may be of use only much later should rather run again now. */
 function isMissed(state: CoreState, machine: Machine, wait: number, now: Now): boolean {
   for (const { job } of machine.claims.values())
@@ -474,12 +481,15 @@
   const { timing } = state.rules;
   const apart = zonesApart(state, now);
   const usual = patienceWith(state, now);
-  // How long a machine of a zone that is apart may be silent, and not even a deputy hear it: it
-  // may well come back, but what its tasks would miss by waiting for it they need not.
+  // How long a machine of a zone that is apart may be silent. It may well come back, but once its
+  // lease must be over, and not even a deputy has told of it, what its tasks would miss by waiting
+  // they need not. Sooner, 236 machines at work behind a cut of 20 s were given back with 1601
+  // tasks; and a leader that hears nobody at all has its own fault to wait for.
+  const deaf = apart.size > 0 && heardNobody(state, now);
   const patienceApart = (machine: Machine, silent: number): number => {
     const longest = 3 * timing.workerLease;
-    return silent > timing.shortSilence && isMissed(state, machine, longest - silent, now)
-      ? timing.shortSilence
+    return !deaf && silent > timing.silence && isMissed(state, machine, longest - silent, now)
+      ? timing.silence
       : longest;
   };
   for (const machine of state.machines.values()) {
