--- a/bench/version.ts
+++ b/bench/version.ts
@@ -13,6 +13,7 @@
   readonly stage: string;
   readonly exit: string | null;
 }
+export type Listed = object;
 interface Write {
   readonly put?: string;
   readonly value?: unknown;
--- a/bench/world.ts
+++ b/bench/world.ts
@@ -4,7 +4,7 @@
  * `step` alone, by what a batch was for.
  */
 import { unsafeUniformIntDistribution, xoroshiro128plus } from 'pure-rand';
-import type { Core, Effect, Records, Reported, Spec, State } from './version.js';
+import type { Core, Effect, Listed, Records, Reported, Spec, State } from './version.js';
 
 const REPORT_MS = 2500;
 const LEASE_MS = 15_250;
@@ -466,6 +466,10 @@
     this.#lead();
   }
 
+  listed(): Listed[] {
+    return [];
+  }
+
   reset(): void {
     this.cost.clear();
     this.placed = 0;
