Deputies answer by what the leader has told them when they cannot read it themselves

Cause: a follower that the state service did not serve could not answer workers in the leader's place, whatever it had learned a second before. A leader that dies in an outage left every worker of the fleet without an answer.

Change: the leader's peer messages say when its view of the live jobs was proven, as a time of day, and whether the jobs they list are all of them. A deputy without a fresh view of its own answers by that, under the same authority window less what clocks may be apart.

--- a/src/deputy.ts
+++ b/src/deputy.ts
@@ -4,8 +4,12 @@
  * While two zones cannot reach each other, workers of the zone without the leader would
  * lose their leases and all their work. A follower beside them may keep them alive: an
  * answer with the leader's token renews the lease, whoever sends it. A deputy never
- * starts anything; it stops what has been cancelled, and answers only while its own
+ * starts anything; it stops what has been cancelled, and answers only while its
  * view of the cancellations is fresh, under the same bound as a leader.
+ *
+ * That view is its own, or else the last that a leader has told of: a leader that dies
+ * while nobody is served by the state service has no successor until that is over, and
+ * every worker would lose its lease and its work meanwhile.
  */
 import type { StateService } from './adapters/state.js';
 import type { Clock } from './clock.js';
@@ -13,7 +17,15 @@
 import type { Timing } from './settings.js';
 import { deputyKey, JOB_PREFIX, jobOfKey, packMachines, type DeputyRecord } from './core/records.js';
 
+/** The live jobs as a leader knew them, and the time of day of the read that proved it. */
+export interface ToldView {
+  readonly at: number;
+  readonly live: ReadonlySet<string>;
+}
+
 export class Deputy {
+  #told: ToldView | null = null;
+
   readonly #live = new Set<string>();
   readonly #seen = new Map<string, number>();
   #provenAt = -Infinity;
@@ -28,8 +40,23 @@
     private readonly timing: Timing,
     /** Its word is split so that it fits values of today and of later. */
     private readonly valueBytes: number,
+    /** How far the times of day of two machines may be apart. */
+    private readonly clocksApart: number,
   ) {}
 
+  /** Takes in what the leader knows; a word that was held back is older than it is new here. */
+  learn(view: ToldView): void {
+    if (view.at > (this.#told?.at ?? -Infinity)) this.#told = view;
+  }
+
+  /** The jobs that are known to be live, freshly enough to answer by; null: they are not known. */
+  #view(): ReadonlySet<string> | null {
+    const { authority } = this.timing;
+    if (this.clock.mono() < this.#provenAt + authority) return this.#live;
+    if (this.#told === null || this.clock.wall() >= this.#told.at + authority - this.clocksApart) return null;
+    return this.#told.live;
+  }
+
   /** What to tell a worker, or null when this node may not answer it. */
   async answer(report: Report): Promise<WorkerCommand[] | null> {
     this.#usedAt = this.clock.mono();
@@ -41,12 +68,12 @@
       });
     }
     await this.#first;
-    if (this.clock.mono() >= this.#provenAt + this.timing.authority) return null;
+    const live = this.#view();
+    if (live === null) return null;
     this.#seen.set(report.machine, this.clock.mono());
     const commands: WorkerCommand[] = [];
     for (const { job, task, attempt, stage } of report.tasks) {
-      if (stage !== 'exited' && !this.#live.has(job))
-        commands.push({ op: 'stop', job, task, attempt, graceS: 0 });
+      if (stage !== 'exited' && !live.has(job)) commands.push({ op: 'stop', job, task, attempt, graceS: 0 });
     }
     return commands;
   }
--- a/src/node.ts
+++ b/src/node.ts
@@ -44,8 +44,19 @@
     const standing: Standing = { leader: null, highestTerm: 0, leadingTerm: 0 };
     this.#common = { settings, timing: times, ports, owner, standing };
     const { value_kb, txn_ops } = lastingLimits(settings);
-    const deputy = new Deputy(settings.host_name, state, clock, times, value_kb * 1024);
-    this.#peering = new Peering(this.#common, () => deputy.hears());
+    const deputy = new Deputy(
+      settings.host_name,
+      state,
+      clock,
+      times,
+      value_kb * 1024,
+      2 * settings.cluster.clock_error_ms,
+    );
+    this.#peering = new Peering(
+      this.#common,
+      () => deputy.hears(),
+      (view) => deputy.learn(view),
+    );
     this.#leading = new Leading(this.#common, this.#peering);
     this.#following = new Following(this.#common, this.#peering, deputy);
     this.#election = new Election(
--- a/src/peering.ts
+++ b/src/peering.ts
@@ -1,10 +1,11 @@
 /** Talking with the other controllers: what they are told, and what of theirs is believed. */
+import type { ToldView } from './deputy.js';
 import { stateAgeMs, type Common } from './common.js';
 import { FORMAT } from './core/records.js';
 import { settledUntil } from './core/pipelines.js';
 import type { JobCount, PeerStatus, QuietZone } from './wire/peers.js';
 
-const MOST_COUNTS = 500;
+const MOST_COUNTS = 1000;
 /** A peer message holds so many names of machines, beside all else. */
 const MOST_HEARD = 2000;
 
@@ -25,6 +26,8 @@
     private readonly common: Common,
     /** Machines that this node answers in the leader's place. */
     private readonly hears: () => string[],
+    /** Takes the live jobs of which a leader has told. */
+    private readonly learn: (view: ToldView) => void,
   ) {}
 
   /** Whether a peer has been heard within the longest report, as far as this node goes. */
@@ -80,9 +83,12 @@
   status(): PeerStatus {
     const { state } = this.common.owner;
     const counts: JobCount[] = [];
+    let all = true;
     if (state.leadership !== null) {
       for (const [id, job] of state.jobs) {
-        if (job.over !== null || counts.length >= MOST_COUNTS) continue;
+        if (job.over !== null) continue;
+        all &&= counts.length < MOST_COUNTS;
+        if (!all) break;
         counts.push({ id, ...(this.countOf(id) ?? { done: 0, running: 0 }) });
       }
     }
@@ -97,6 +103,7 @@
       settledAt: this.#settledAt(),
       quiet: this.#quietZones(),
       hears: state.leadership === null ? this.hears().slice(0, MOST_HEARD) : [],
+      provenAt: all ? this.#provenAt() : 0,
     };
   }
 
@@ -124,6 +131,13 @@
     return this.common.ports.clock.wall() - (this.common.ports.clock.mono() - settledUntil(state));
   }
 
+  /** Time of day of the read that proved this leader's view; 0 without leading. */
+  #provenAt(): number {
+    const { leadership } = this.common.owner.state;
+    const { clock } = this.common.ports;
+    return leadership === null ? 0 : clock.wall() - (clock.mono() - leadership.provenAt);
+  }
+
   /**
    * Whether a leader vouches, freshly enough for the bound on cancellations, that no waiting
    * job needs one that was cancelled. Its word may have been held back: the time of day tells.
@@ -151,6 +165,8 @@
     if (status.term >= this.common.standing.highestTerm) this.#learnQuiet(status, now);
     if (!status.leading || status.term < this.common.standing.highestTerm) return;
     if (this.common.owner.state.leadership === null) this.common.standing.leader = status.node;
+    if (status.provenAt > 0)
+      this.learn({ at: status.provenAt, live: new Set(status.counts.map(({ id }) => id)) });
     this.#counts.clear();
     for (const count of status.counts) this.#counts.set(count.id, count);
   }
--- a/src/wire/peers.ts
+++ b/src/wire/peers.ts
@@ -26,6 +26,11 @@
   readonly quiet: readonly QuietZone[];
   /** Machines that this node answers in the leader's place; bounded. */
   readonly hears: readonly string[];
+  /**
+   * Time of day, in milliseconds, of the read that proved what the leader knows of cancellations;
+   * 0: none, or the counts do not list every live job.
+   */
+  readonly provenAt: number;
 }
 
 export interface QuietZone {
@@ -61,6 +66,7 @@
         settledAt: { type: 'double', id: 8 },
         quiet: { rule: 'repeated', type: 'QuietZone', id: 9 },
         hears: { rule: 'repeated', type: 'string', id: 10 },
+        provenAt: { type: 'double', id: 11 },
       },
     },
   },
--- a/test/leading.test.ts
+++ b/test/leading.test.ts
@@ -83,3 +83,23 @@
   expect(world.checker.broken).toEqual([]);
   expect(world.checker.unfinished()).toEqual([]);
 });
+
+// Nobody can follow a leader that dies while the state service is away: every worker in the fleet
+// lost its lease, and all its work with it, before the outage was over.
+test('a leader dies in an outage: its deputies answer by what it has told them, and no lease is lost', async () => {
+  const world = new World(seeded(8));
+  await world.clock.runUntil(3000);
+  const job = { id: 'req-000001', team: 'crew', tasks: 60, cpus: 8, memoryGb: 2, spot: true };
+  void world.user({ ...job, zone: 'a', oneZone: false, spread: false }, null);
+  await world.clock.runUntil(15_000);
+  const workers = [...world.cloud.workers.values()];
+  expect(workers.length).toBeGreaterThan(3);
+  world.state.outage(17_000);
+  await world.clock.runUntil(15_500);
+  world.crash(Number(world.leaders()[0]?.slice(2)), 60_000);
+  await world.clock.runUntil(40_000);
+  expect(workers.filter(({ session, gone }) => session > 1 || gone)).toEqual([]);
+  await world.clock.runUntil(120_000);
+  expect(world.checker.broken).toEqual([]);
+  expect(world.checker.unfinished()).toEqual([]);
+});
--- a/test/upgrade.test.ts
+++ b/test/upgrade.test.ts
@@ -76,6 +76,7 @@
     settledAt: 1e12,
     quiet: [],
     hears: [],
+    provenAt: 0,
   });
   expect(earlier.toObject(earlier.decodeDelimited(own))).toMatchObject({ node: 'n-1', term: 8 });
 });
--- a/test/wire.test.ts
+++ b/test/wire.test.ts
@@ -16,6 +16,7 @@
   settledAt: 12.5,
   quiet: [{ zone: 'b', ageMs: 1500 }],
   hears: ['vm-1'],
+  provenAt: 13.5,
 };
 
 test('peer messages survive any cutting of the stream', () => {
