Machines that owe a report are knocked at; one that takes no connection is given up

Cause: what ran on a dead machine waited 10.75 s to run again, as long as a worker may take that has lost its controller; 18.4 s once three in ten machines were silent.

Change: core/probing.ts. A machine that owes its report is connected to; two knocks in a row that meet nobody, while at least half of its zone has been heard within one report's time, and it is returned. A zone that is not heard takes back what was met until then, for a cut explains it. A knock that meets somebody, or could not be made, proves nothing. What frees its tasks still is the cloud's 200.

--- a/bench/run.mjs
+++ b/bench/run.mjs
@@ -1,5 +1,5 @@
 // Times the core at several sizes, a version before beside today's sources:
-//   node bench/run.mjs [--against COMMIT] [--sizes 160,600,2000,6000] [--rounds 1]
+//   node bench/run.mjs [--against COMMIT] [--sizes 160,600,2000,6000] [--profile]
 // Processor time of this machine; compare the ratios, not the figures.
 import { execFileSync } from 'node:child_process';
 import { existsSync, mkdirSync, writeFileSync } from 'node:fs';
--- a/bench/version.ts
+++ b/bench/version.ts
@@ -13,7 +13,6 @@
   readonly stage: string;
   readonly exit: string | null;
 }
-export type Listed = object;
 interface Write {
   readonly put?: string;
   readonly value?: unknown;
@@ -43,6 +42,7 @@
     }
   | { readonly kind: 'rent'; readonly request: string; readonly zone: string; readonly count: number }
   | { readonly kind: 'return'; readonly machines: readonly string[] }
+  | { readonly kind: 'probe'; readonly machine: string }
   | { readonly kind: 'other' };
 export interface Core {
   createState(node: string, rules: unknown): State;
--- a/bench/world.ts
+++ b/bench/world.ts
@@ -4,12 +4,14 @@
  * `step` alone, by what a batch was for.
  */
 import { unsafeUniformIntDistribution, xoroshiro128plus } from 'pure-rand';
-import type { Core, Effect, Listed, Records, Reported, Spec, State } from './version.js';
+import type { Core, Effect, Records, Reported, Spec, State } from './version.js';
 
 const REPORT_MS = 2500;
 const LEASE_MS = 15_250;
 const BOOT_MS = 35_000;
 const COMMIT_MS = 5;
+/** How long a dead machine keeps one who knocks waiting. */
+const KNOCK_MS = 750;
 const BATCH_MS = 5;
 const TERM_STAMP = 1;
 
@@ -381,6 +383,13 @@
         });
         break;
       }
+      case 'probe': {
+        const met = this.machines.get(effect.machine)?.dead !== true;
+        this.#at(this.now + (met ? 1 : KNOCK_MS), () =>
+          this.#pending.push({ kind: 'probed', machine: effect.machine, met }),
+        );
+        break;
+      }
       case 'rent':
         this.#at(this.now + 100, () => {
           const free = this.fleet - this.machines.size;
@@ -466,10 +475,6 @@
     this.#lead();
   }
 
-  listed(): Listed[] {
-    return [];
-  }
-
   reset(): void {
     this.cost.clear();
     this.placed = 0;
--- a/src/adapters/workers.ts
+++ b/src/adapters/workers.ts
@@ -1,4 +1,5 @@
-/** Commands sent straight to workers: they only raise the token, or halt. */
+/** Commands sent straight to workers: they only raise the token, or halt; and knocks at their doors. */
+import { connect } from 'node:net';
 import type { Report, WorkerCommand } from '../core/types.js';
 import { parseAddress } from '../settings.js';
 import { encodeDirect, parseReport } from '../wire/workers.js';
@@ -11,10 +12,45 @@
     session: number,
     commands: readonly WorkerCommand[],
   ): Promise<Report | null>;
+  /** Whether the address takes a connection; null: not to be told from here. */
+  isThere(address: string): Promise<boolean | null>;
 }
 
+/** Errors that speak of the other side, not of this one. */
+const NOBODY: ReadonlySet<string | undefined> = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ETIMEDOUT']);
+
 export class HttpWorkers implements Workers {
-  constructor(private readonly timeoutMs: number) {}
+  #knocks = 0;
+
+  constructor(
+    private readonly timeoutMs: number,
+    /** How long a machine has to take a connection, and how many are knocked at, at once. */
+    private readonly knockMs: number,
+    private readonly mostKnocks: number,
+  ) {}
+
+  isThere(address: string): Promise<boolean | null> {
+    if (this.#knocks >= this.mostKnocks) return Promise.resolve(null);
+    this.#knocks += 1;
+    return new Promise((resolve) => {
+      const socket = connect(parseAddress(address));
+      let met: boolean | null = false;
+      // After a time in which this process stood still, what has come meanwhile is looked at first.
+      const timer = setTimeout(() => setImmediate(() => socket.destroy()), this.knockMs);
+      socket.on('connect', () => {
+        met = true;
+        socket.destroy();
+      });
+      socket.on('error', ({ code }: NodeJS.ErrnoException) => {
+        if (met === false && !NOBODY.has(code)) met = null;
+      });
+      socket.on('close', () => {
+        clearTimeout(timer);
+        this.#knocks -= 1;
+        resolve(met);
+      });
+    });
+  }
 
   async direct(
     address: string,
--- a/src/core/effects.ts
+++ b/src/core/effects.ts
@@ -36,6 +36,8 @@
   | { readonly kind: 'tick' }
   | { readonly kind: 'report'; readonly reply: number; readonly report: Report }
   | { readonly kind: 'direct'; readonly report: Report }
+  /** Whether a knock at a machine met somebody; null: there is no word of it. */
+  | { readonly kind: 'probed'; readonly machine: string; readonly met: boolean | null }
   | {
       readonly kind: 'lead';
       readonly term: number;
@@ -93,6 +95,8 @@
       readonly session: number;
       readonly commands: readonly WorkerCommand[];
     }
+  /** Asks whether anybody is at the address. */
+  | { readonly kind: 'probe'; readonly machine: string; readonly address: string }
   | {
       readonly kind: 'rent';
       readonly request: string;
--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -4,6 +4,7 @@
 import { expectedRun } from './jobs.js';
 import { isDurable, recordStrayDone, releaseClaim } from './ledger.js';
 import { log } from './log.js';
+import { isUnmet, probe, zonesAwake } from './probing.js';
 import { isAtFault, noRoom } from './room.js';
 import {
   isDone,
@@ -48,6 +49,8 @@
     returnAskedAt: null,
     held: null,
     raisedAt: null,
+    knocking: false,
+    unmet: 0,
   };
   state.machines.set(name, machine);
   return machine;
@@ -231,6 +234,7 @@
   const whole = !direct && report.token === token;
   if (!direct) {
     machine.heardAt = now.mono;
+    machine.unmet = 0;
     if (whole && !machine.whole) state.placeDirty = true;
     machine.whole = whole;
   }
@@ -477,8 +481,10 @@
 }
 
 /** Gives up machines that are silent, never came up, or hold cancelled work out of reach. */
-export function judgeMachines(state: CoreState, now: Now): void {
+export function judgeMachines(state: CoreState, now: Now, effects: Effect[]): void {
   const { timing } = state.rules;
+  const awake = zonesAwake(state, now);
+  probe(state, awake, now, effects);
   const apart = zonesApart(state, now);
   const usual = patienceWith(state, now);
   // How long a machine of a zone that is apart may be silent. It may well come back, but once its
@@ -494,6 +500,10 @@
   };
   for (const machine of state.machines.values()) {
     if (machine.leaving !== null) continue;
+    if (isUnmet(machine)) {
+      leave(machine, 'out of reach');
+      continue;
+    }
     const type = state.types.get(machine.type);
     const boot = (type?.bootS ?? 60) * 1000;
     if (machine.heardAt === null) {
--- a/src/core/state.ts
+++ b/src/core/state.ts
@@ -223,6 +223,9 @@
   /** The report waiting for an answer. */
   held: { readonly reply: number; readonly since: number } | null;
   raisedAt: number | null;
+  /** It is being knocked at, and so many knocks in a row have met nobody. */
+  knocking: boolean;
+  unmet: number;
 }
 
 export interface Rental {
--- a/src/core/step.ts
+++ b/src/core/step.ts
@@ -17,6 +17,7 @@
 import { addJob, endJob, loadChunks, nextCommit, settleCommit, settleRecheck } from './ledger.js';
 import { log } from './log.js';
 import { nextQuestion, settleQuestion } from './pipelines.js';
+import { settleProbe } from './probing.js';
 import { sortQueue } from './queue.js';
 import { forgetLeadership, mayAct, type CoreState, type Machine, type Now } from './state.js';
 
@@ -73,7 +74,7 @@
   const machineOf = (name: string): Machine => machineNamed(state, name, now);
   switch (command.kind) {
     case 'tick':
-      if (mayAct(state, now)) judgeMachines(state, now);
+      if (mayAct(state, now)) judgeMachines(state, now, effects);
       break;
     case 'report':
       onReport(state, command, now, effects);
@@ -167,6 +168,9 @@
           machine.relayedAt = Math.max(machine.relayedAt ?? 0, now.mono - command.ageMs);
       }
       break;
+    case 'probed':
+      settleProbe(state, command.machine, command.met, now);
+      break;
     case 'catalog':
       state.types = new Map(command.types.map((type) => [type.name, type]));
       for (const machine of state.machines.values()) state.touched.add(machine);
--- a/src/core/timing.ts
+++ b/src/core/timing.ts
@@ -21,6 +21,8 @@
   /** Bound on one request to the state service. */
   readonly stateTimeout: number;
   readonly tick: number;
+  /** How long a machine has to take a connection. */
+  readonly knock: number;
   /** How long an exit may wait to be written together with others of its job. */
   readonly exitHold: number;
   /** How long a report may wait for the commit that its starts need. */
--- a/src/node.ts
+++ b/src/node.ts
@@ -217,6 +217,11 @@
             if (report !== null) this.#common.owner.push({ kind: 'direct', report });
           });
         break;
+      case 'probe':
+        void this.#common.ports.workers.isThere(effect.address).then((met) => {
+          this.#common.owner.push({ kind: 'probed', machine: effect.machine, met });
+        });
+        break;
       case 'rent':
         void this.#common.ports.cloud
           .rent(effect.request, effect.type, effect.zone, effect.spot, effect.count)
--- a/src/service.ts
+++ b/src/service.ts
@@ -17,7 +17,11 @@
   const node = new ControllerNode(settings, {
     state: new HttpStateService(settings, clock),
     cloud: new HttpCloud(settings, clock),
-    workers: new HttpWorkers(2 * times.longestReport),
+    workers: new HttpWorkers(
+      2 * times.longestReport,
+      times.knock,
+      Math.ceil(settings.cluster.quota.sockets / 16),
+    ),
     clock,
     log,
     policy,
--- a/src/settings.ts
+++ b/src/settings.ts
@@ -148,6 +148,7 @@
     watchWait: 0.1 * lease,
     stateTimeout: 0.15 * lease,
     tick: 0.25 * report,
+    knock: 0.3 * report,
     exitHold: 0.2 * lease,
     replyHold: 0.25 * report,
   };
--- a/test/fleet.test.ts
+++ b/test/fleet.test.ts
@@ -145,3 +145,61 @@
   expect(Object.fromEntries(zones)).toEqual({ a: 100, b: 100 });
   expect(Math.max(...asked.map(({ count }) => count))).toBeLessThanOrEqual(50);
 });
+
+const knocked = (effects: readonly Effect[]): string[] =>
+  effects.flatMap((effect) => (effect.kind === 'probe' ? [effect.machine] : []));
+
+// A dead machine's tasks waited 11 s to run again: as long as a worker may take that has lost
+// its controller and tries the others.
+test('a machine that twice takes no connection, while most around it are heard, is given up', () => {
+  const bench = new CoreBench();
+  const { longestReport, shortSilence } = bench.state.rules.timing;
+  const others = ['n', 'o', 'p'];
+  let seq = 0;
+  const hear = (...names: string[]): void => {
+    seq += 1;
+    for (const name of names) bench.hear(report(name, seq));
+  };
+  const met = (machine: string, found: boolean | null): void => {
+    bench.do({ kind: 'probed', machine, met: found });
+  };
+  const from = bench.now;
+  hear('m', ...others);
+  bench.now += 1.3 * longestReport;
+  // Nobody of its zone has been heard: that may be a cut, and proves nothing of one machine.
+  expect(knocked(bench.do({ kind: 'tick' }))).toEqual([]);
+  hear(...others);
+  expect(knocked(bench.do({ kind: 'tick' }))).toEqual(['m']);
+  // One knock at a time; one that was not made, or that meets somebody, counts for nothing.
+  expect(knocked(bench.do({ kind: 'tick' }))).toEqual([]);
+  for (const found of [false, null, true, false]) {
+    met('m', found);
+    expect(returned(bench.do({ kind: 'tick' }))).toEqual([]);
+  }
+  // A time in which the zone was silent takes back what was met until then.
+  bench.now += 1.2 * longestReport;
+  bench.do({ kind: 'tick' });
+  hear(...others);
+  met('m', false);
+  expect(returned(bench.do({ kind: 'tick' }))).toEqual([]);
+  met('m', false);
+  expect(bench.now - from).toBeLessThan(shortSilence);
+  expect(returned(bench.do({ kind: 'tick' }))).toEqual(['m']);
+});
+
+// A report on its way when the knock met nobody is the newer word.
+test('what a knock met counts for nothing once the machine is heard again', () => {
+  const bench = new CoreBench();
+  const { longestReport } = bench.state.rules.timing;
+  for (const name of ['m', 'n', 'o']) bench.hear(report(name, 1));
+  bench.now += 1.3 * longestReport;
+  for (const name of ['n', 'o']) bench.hear(report(name, 2));
+  bench.do({ kind: 'tick' });
+  bench.do({ kind: 'probed', machine: 'm', met: false });
+  bench.hear(report('m', 2));
+  bench.now += 1.3 * longestReport;
+  for (const name of ['n', 'o']) bench.hear(report(name, 3));
+  bench.do({ kind: 'tick' });
+  bench.do({ kind: 'probed', machine: 'm', met: false });
+  expect(returned(bench.do({ kind: 'tick' }))).toEqual([]);
+});
--- a/test/standins/cloud.ts
+++ b/test/standins/cloud.ts
@@ -327,6 +327,12 @@
       rent: async (...wish) => (await ask(() => this.rent(...wish))) ?? 'unknown',
       giveBack: async (names) =>
         (await ask(() => names.forEach((name) => this.remove(name)) ?? true)) ?? false,
+      isThere: async (address): Promise<boolean> => {
+        const worker = [...this.workers.values()].find(({ listed }) => listed.address === address);
+        if (worker === undefined) return false;
+        const met = await this.network.ask<boolean>(node, worker.listed.name, 750, (reply) => reply(true));
+        return met === true;
+      },
       direct: async (address, token, session, commands: readonly WorkerCommand[]): Promise<Report | null> => {
         const worker = [...this.workers.values()].find(({ listed }) => listed.address === address);
         if (worker === undefined) return null;
