Retry budgets towards the state service and the cloud

Need: while the state service is away, every poll and submission went out to it, and all rentals that waited for the cloud were asked anew each second, to meet it together as it comes back.

Renewing a lease and open watches are not held back.

--- a/src/adapters/cloud.ts
+++ b/src/adapters/cloud.ts
@@ -4,7 +4,7 @@
 import { parseAddress, type PlatformSettings } from '../settings.js';
 import { encodeRental, encodeReturn, parseCatalog, parseMachines, parseRented } from '../wire/cloud.js';
 import { HttpClient, type Answer } from './http.js';
-import { Limiter } from './limiter.js';
+import { Limiter, RetryBudget } from './limiter.js';
 
 export type RentalOutcome = readonly string[] | 'refused' | 'malformed' | 'unknown';
 
@@ -20,6 +20,7 @@
 export class HttpCloud implements Cloud {
   readonly #client: HttpClient;
   readonly #rate: Limiter;
+  readonly #retries: RetryBudget;
   readonly #timeout: number;
 
   constructor(
@@ -29,15 +30,18 @@
     this.#client = new HttpClient(parseAddress(settings.endpoints.cloud), 6);
     const { rps } = settings.cluster.cloud;
     this.#rate = new Limiter(clock, 0.7 * rps, rps);
+    this.#retries = new RetryBudget(clock, rps);
     this.#timeout = 300 * settings.cluster.workers.lease_s;
   }
 
   async #call(method: string, path: string, body: string | null): Promise<Answer> {
-    while (!this.#rate.tryTake()) await this.clock.sleep(100);
+    while (!this.#retries.mayAsk() || !this.#rate.tryTake()) await this.clock.sleep(100);
     const answer = await this.#client.call(method, path, body, this.#timeout);
     // Whoever asks again after trouble asks a second later at the earliest.
     const refused = answer.status === 503 && JSON.stringify(answer.body ?? '').includes('no capacity');
-    if (answer.status === 0 || answer.status === 429 || (answer.status >= 500 && !refused)) {
+    const answered = answer.status !== 0 && answer.status !== 429 && (answer.status < 500 || refused);
+    this.#retries.note(answered);
+    if (!answered) {
       await this.clock.sleep(1000);
     }
     return answer;
--- a/src/adapters/limiter.ts
+++ b/src/adapters/limiter.ts
@@ -1,6 +1,7 @@
-/** A bucket of tokens that keeps this node within its share of a service's rate. */
+/** How much may be asked of a service: its rate, and a budget for when it is in trouble. */
 import type { Clock } from '../clock.js';
 
+/** A bucket of tokens that keeps this node within its share of a service's rate. */
 export class Limiter {
   #level: number;
   #at: number;
@@ -43,3 +44,29 @@
     return this.tryTake(cost);
   }
 }
+
+/** The part of a service's rate that is spent on asking it anew while it is in trouble. */
+const RETRY_SHARE = 0.05;
+
+/**
+ * What may be asked of a service since it last failed to answer. All that waits would be asked
+ * anew at once otherwise, again and again, and meet the service as it comes back: one answer is
+ * enough to know that it has.
+ */
+export class RetryBudget {
+  readonly #retries: Limiter;
+  #inTrouble = false;
+
+  constructor(clock: Clock, rps: number) {
+    const perSecond = Math.max(1, RETRY_SHARE * rps);
+    this.#retries = new Limiter(clock, perSecond, perSecond);
+  }
+
+  mayAsk(): boolean {
+    return !this.#inTrouble || this.#retries.tryTake();
+  }
+
+  note(answered: boolean): void {
+    this.#inTrouble = !answered;
+  }
+}
--- a/src/adapters/state.ts
+++ b/src/adapters/state.ts
@@ -15,7 +15,7 @@
 } from '../wire/state.js';
 import type { Transaction } from '../core/types.js';
 import { HttpClient, type Answer } from './http.js';
-import { Limiter } from './limiter.js';
+import { Limiter, RetryBudget } from './limiter.js';
 
 export type Read = { readonly entry: Entry | null } | 'unknown';
 export type Commit =
@@ -58,6 +58,7 @@
   readonly #watches: HttpClient;
   #requests: Limiter;
   #writes: Limiter;
+  readonly #retries: RetryBudget;
   readonly #timing: Timing;
   #contactAt: number | null = null;
 
@@ -71,6 +72,7 @@
     this.#client = new HttpClient(to, Math.max(4, Math.floor(sockets / 25)));
     this.#watches = new HttpClient(to, 8);
     [this.#requests, this.#writes] = this.#limiters(settings.cluster.state);
+    this.#retries = new RetryBudget(clock, settings.cluster.state.rps);
   }
 
   #limiters({ rps, write_rps, txn_ops }: StateLimits): [Limiter, Limiter] {
@@ -93,6 +95,7 @@
   async #call(method: string, path: string, body: string | null, urgent = false): Promise<Answer> {
     const { stateTimeout } = this.#timing;
     if (urgent) this.#requests.force();
+    else if (!this.#retries.mayAsk()) return { status: 503, body: undefined };
     else if (!(await this.#requests.take(1, stateTimeout / 2))) return { status: 429, body: undefined };
     const sentAt = this.clock.mono();
     const answer = await this.#client.call(method, path, body, stateTimeout);
@@ -101,7 +104,9 @@
   }
 
   #note(answer: Answer, sentAt: number): void {
-    if (answer.status !== 0 && answer.status < 500 && answer.status !== 429) {
+    const answered = answer.status !== 0 && answer.status < 500 && answer.status !== 429;
+    this.#retries.note(answered);
+    if (answered) {
       this.#contactAt = Math.max(this.#contactAt ?? sentAt, sentAt);
     }
   }
--- a/test/fleet.test.ts
+++ b/test/fleet.test.ts
@@ -1,5 +1,6 @@
 /** Many machines lost at once: what is given back, what runs again, and what a cut-off leader must not ask for. */
 import { expect, test } from 'vitest';
+import { RetryBudget } from '../src/adapters/limiter.js';
 import { aimsLost, isHurried, latestStart } from '../src/core/aims.js';
 import { classAims } from '../src/rules.js';
 import type { Effect } from '../src/core/effects.js';
@@ -203,3 +204,21 @@
   bench.do({ kind: 'probed', machine: 'm', met: false });
   expect(returned(bench.do({ kind: 'tick' }))).toEqual([]);
 });
+
+// In an outage of the state service each poll and submission went out to it, and all that waited
+// for the cloud was asked anew every second.
+test('a service in trouble is asked only so often, until it answers', () => {
+  let now = 0;
+  const budget = new RetryBudget(
+    { mono: () => now, wall: () => now, sleep: () => Promise.resolve(), soon: () => undefined },
+    100,
+  );
+  const asked = (): number => Array.from({ length: 200 }, () => budget.mayAsk()).filter(Boolean).length;
+  expect(asked()).toBe(200);
+  budget.note(false);
+  expect(asked()).toBe(5);
+  now += 1000;
+  expect(asked()).toBe(5);
+  budget.note(true);
+  expect(asked()).toBe(200);
+});
