Ordinary machines for late rush work taken back

Tried: while every cheap kind is refused, ordinary machines for the tasks of a class that have waited longer than they are to.

--- a/src/core/capacity.ts
+++ b/src/core/capacity.ts
@@ -395,15 +395,6 @@
   return count;
 }
 
-/** Tasks of a class that have waited for longer than they are to. */
-function lateTasks(state: CoreState, { jobClass }: JobSpec, wait: number, now: Now): number {
-  let late = 0;
-  for (const job of state.waiting)
-    if (job.spec.jobClass === jobClass && isReady(job) && now.wall - job.readyAt > wait)
-      late += waitingTasks(job);
-  return late;
-}
-
 /**
  * A class that cannot wait for a boot gets room for as many tasks at once as it lately
  * had at the most. Its waiting tasks alone would not rent it: they get their turn before
@@ -444,12 +435,8 @@
       if (spot || kind === undefined) missing -= found;
     }
   }
-  // With no cheap one to be had, what waits too long already shows that more room is needed than there is.
-  const source =
-    kind === undefined ? kinds.filter(({ type }) => !(choosy && plan.scarce.has(type.name))) : cheap;
-  if (kind === undefined) missing = Math.min(missing, lateTasks(state, spec, wait, now));
   while (missing > 0) {
-    const next = pick(plan, source);
+    const next = pick(plan, cheap);
     const found = next === undefined ? 0 : slots(spec, roomOf(next.type));
     if (next === undefined || found === 0) return;
     want(plan, next, 1);
