A settled commit looks again only at reports of machines that its jobs are on

Change: the machines with claims of the jobs in the commit are looked at; all of them at a tick and after a recheck, as before.

--- a/src/core/step.ts
+++ b/src/core/step.ts
@@ -154,6 +154,8 @@
       break;
     }
     case 'committed':
+      // Looking at all that wait at every commit cost commits times machines in a large fleet.
+      for (const machine of awaiting(state)) state.answerable.push(machine);
       if (settleCommit(state, command.id, command.outcome, now, effects) === 'deposed') {
         resign(state, 'the term has been raised', effects);
       }
@@ -195,9 +197,22 @@
   if (machine !== undefined) machine.returnAskedAt = null;
 }
 
+/** Machines whose report may be waiting for the commit that is under way. */
+function awaiting(state: CoreState): Set<Machine> {
+  const found = new Set<Machine>();
+  const { chunks = [], ending = [], withdrawing = [] } = state.commit ?? {};
+  for (const job of new Set([...chunks.map((chunk) => chunk.job), ...ending, ...withdrawing])) {
+    for (const claim of job.claims.values()) {
+      const machine = state.machines.get(claim.machine);
+      if (machine !== undefined && machine.held !== null) found.add(machine);
+    }
+  }
+  return found;
+}
+
 /**
  * Answers the reports that nothing holds up any more. One that waits for a commit is looked
- * at again when a commit is settled, at a tick, and once it has waited long enough; so what
+ * at again when a commit of a job on it is settled, at a tick, and once it has waited long enough; so what
  * this costs follows what has happened, not how many wait.
  */
 function answerReports(state: CoreState, now: Now, all: boolean, effects: Effect[]): void {
@@ -222,7 +237,7 @@
   let settled = false;
   for (const command of commands) {
     ticked ||= command.kind === 'tick';
-    settled ||= command.kind === 'committed' || command.kind === 'rechecked';
+    settled ||= command.kind === 'rechecked';
     apply(state, command, now, effects);
   }
   const lead = state.leadership;
