Duties of a controller move to src/controller

A move alone: node, leading, following, peering, deputy, election and common change together and leave the root of src/.

--- a/src/common.ts
+++ b/src/controller/common.ts
@@ -1,12 +1,12 @@
 /** What the parts of a node have in common: its ports, and who leads as far as it knows. */
-import type { Cloud } from './adapters/cloud.js';
-import type { StateService } from './adapters/state.js';
-import type { Workers } from './adapters/workers.js';
-import type { Clock } from './clock.js';
-import type { PolicyFigures } from './core/state.js';
-import type { Log } from './logging.js';
-import type { Owner } from './owner.js';
-import type { PlatformSettings, Timing } from './settings.js';
+import type { Cloud } from '../adapters/cloud.js';
+import type { StateService } from '../adapters/state.js';
+import type { Workers } from '../adapters/workers.js';
+import type { Clock } from '../clock.js';
+import type { PolicyFigures } from '../core/state.js';
+import type { Log } from '../logging.js';
+import type { Owner } from '../owner.js';
+import type { PlatformSettings, Timing } from '../settings.js';
 
 /** What a controller needs of the world around it. */
 export interface Ports {
--- a/src/deputy.ts
+++ b/src/controller/deputy.ts
@@ -11,11 +11,11 @@
  * while nobody is served by the state service has no successor until that is over, and
  * every worker would lose its lease and its work meanwhile.
  */
-import type { StateService } from './adapters/state.js';
-import type { Clock } from './clock.js';
-import type { Report, WorkerCommand } from './core/types.js';
-import type { Timing } from './settings.js';
-import { deputyKey, JOB_PREFIX, jobOfKey, packMachines, type DeputyRecord } from './core/records.js';
+import type { StateService } from '../adapters/state.js';
+import type { Clock } from '../clock.js';
+import type { Report, WorkerCommand } from '../core/types.js';
+import type { Timing } from '../settings.js';
+import { deputyKey, JOB_PREFIX, jobOfKey, packMachines, type DeputyRecord } from '../core/records.js';
 
 /** The live jobs as a leader knew them, and the time of day of the read that proved it. */
 export interface ToldView {
--- a/src/election.ts
+++ b/src/controller/election.ts
@@ -4,10 +4,10 @@
  * conditional on the stamp of `term`, so nothing that an earlier leader sent takes
  * effect once a later one is elected.
  */
-import type { Clock } from './clock.js';
-import type { StateService } from './adapters/state.js';
-import type { Timing } from './settings.js';
-import { decodeLeader, decodeTerm, LEADER_KEY, TERM_KEY, type LeaderRecord } from './core/records.js';
+import type { Clock } from '../clock.js';
+import type { StateService } from '../adapters/state.js';
+import type { Timing } from '../settings.js';
+import { decodeLeader, decodeTerm, LEADER_KEY, TERM_KEY, type LeaderRecord } from '../core/records.js';
 
 export interface Elected {
   readonly term: number;
--- a/src/following.ts
+++ b/src/controller/following.ts
@@ -1,9 +1,9 @@
 /** Following: workers are sent to the leader, or answered for one that they cannot reach. */
 import type { Common } from './common.js';
-import type { Report } from './core/types.js';
+import type { Report } from '../core/types.js';
 import type { Deputy } from './deputy.js';
 import type { Peering } from './peering.js';
-import { encodeRedirect, encodeReply } from './wire/workers.js';
+import { encodeRedirect, encodeReply } from '../wire/workers.js';
 
 const MOST_REDIRECTED = 5000;
 
--- a/src/leading.ts
+++ b/src/controller/leading.ts
@@ -1,7 +1,7 @@
 /** Leading: what the leaders before have committed is loaded, then the jobs are followed. */
-import { readJob } from './adapters/users.js';
+import { readJob } from '../adapters/users.js';
 import type { Common } from './common.js';
-import type { LoadedChunk, Recheck } from './core/effects.js';
+import type { LoadedChunk, Recheck } from '../core/effects.js';
 import {
   decodeChunk,
   decodeDeputy,
@@ -19,13 +19,13 @@
   TERM_KEY,
   type ClassMemory,
   type FormatRecord,
-} from './core/records.js';
-import type { EndedRecord, JobSpec, Stamped } from './core/types.js';
+} from '../core/records.js';
+import type { EndedRecord, JobSpec, Stamped } from '../core/types.js';
 import type { Elected } from './election.js';
 import type { Peering } from './peering.js';
-import type { PlatformSettings } from './settings.js';
-import { firstLayout, formatRecord, lastingLayout } from './upgrade.js';
-import type { Entry } from './wire/state.js';
+import type { PlatformSettings } from '../settings.js';
+import { firstLayout, formatRecord, lastingLayout } from '../upgrade.js';
+import type { Entry } from '../wire/state.js';
 
 function decodeJobs(entries: readonly Entry[]): Stamped<JobSpec>[] {
   const jobs: Stamped<JobSpec>[] = [];
--- a/src/node.ts
+++ b/src/controller/node.ts
@@ -1,23 +1,23 @@
 /** One controller: the owner, and the parts around it that lead, follow, talk with peers and serve users. */
-import { Admission } from './adapters/admission.js';
-import { Users } from './adapters/users.js';
+import { Admission } from '../adapters/admission.js';
+import { Users } from '../adapters/users.js';
 import { stateAgeMs, type Common, type Ports, type Standing } from './common.js';
-import { FORMAT, LEADER_KEY } from './core/records.js';
-import type { Effect } from './core/effects.js';
-import { createState } from './core/state.js';
+import { FORMAT, LEADER_KEY } from '../core/records.js';
+import type { Effect } from '../core/effects.js';
+import { createState } from '../core/state.js';
 import { Deputy } from './deputy.js';
-import { describeLead } from './describe.js';
+import { describeLead } from '../describe.js';
 import { Election } from './election.js';
 import { Following } from './following.js';
-import { Latencies } from './latency.js';
+import { Latencies } from '../latency.js';
 import { Leading } from './leading.js';
-import { Owner } from './owner.js';
+import { Owner } from '../owner.js';
 import { Peering } from './peering.js';
-import { rulesFor } from './rules.js';
-import { lastingLimits, timing, type PlatformSettings } from './settings.js';
-import { lastingLayout, Upgrade } from './upgrade.js';
-import type { PeerStatus } from './wire/peers.js';
-import { encodeReply, parseReport } from './wire/workers.js';
+import { rulesFor } from '../rules.js';
+import { lastingLimits, timing, type PlatformSettings } from '../settings.js';
+import { lastingLayout, Upgrade } from '../upgrade.js';
+import type { PeerStatus } from '../wire/peers.js';
+import { encodeReply, parseReport } from '../wire/workers.js';
 
 export type { Ports };
 
--- a/src/peering.ts
+++ b/src/controller/peering.ts
@@ -1,9 +1,9 @@
 /** Talking with the other controllers: what they are told, and what of theirs is believed. */
 import type { ToldView } from './deputy.js';
 import { stateAgeMs, type Common } from './common.js';
-import { FORMAT } from './core/records.js';
-import { settledUntil } from './core/pipelines.js';
-import type { JobCount, PeerStatus, QuietZone } from './wire/peers.js';
+import { FORMAT } from '../core/records.js';
+import { settledUntil } from '../core/pipelines.js';
+import type { JobCount, PeerStatus, QuietZone } from '../wire/peers.js';
 
 const MOST_COUNTS = 1000;
 /** A peer message holds so many names of machines, beside all else. */
--- a/src/index.ts
+++ b/src/index.ts
@@ -1,5 +1,5 @@
 /** rowanferry as a library. */
-export { ControllerNode, type Ports } from './node.js';
+export { ControllerNode, type Ports } from './controller/node.js';
 export { startService } from './service.js';
 export { parseSettings, settingsFaults, SettingsError, type PlatformSettings } from './settings.js';
 export { createPolicy, readPolicy, FIGURES } from './policy.js';
--- a/src/service.ts
+++ b/src/service.ts
@@ -8,7 +8,7 @@
 import { systemClock } from './clock.js';
 import type { PolicyFigures } from './core/state.js';
 import type { Log } from './logging.js';
-import { ControllerNode } from './node.js';
+import { ControllerNode } from './controller/node.js';
 import { parseAddress, timing, type PlatformSettings } from './settings.js';
 
 export function startService(settings: PlatformSettings, policy: PolicyFigures, log: Log): void {
--- a/test/leading.test.ts
+++ b/test/leading.test.ts
@@ -1,7 +1,7 @@
 /** Who leads, and for how long. */
 import { expect, test } from 'vitest';
 import type { StateService } from '../src/adapters/state.js';
-import { Deputy } from '../src/deputy.js';
+import { Deputy } from '../src/controller/deputy.js';
 import { timing as timingOf } from '../src/settings.js';
 import type { Worker } from './standins/cloud.js';
 import { report, task } from './standins/core.js';
--- a/test/standins/world.ts
+++ b/test/standins/world.ts
@@ -1,7 +1,7 @@
 /** The whole service against the stand-ins, with users of its own and faults drawn from a seed. */
 import { pino } from 'pino';
 import { unsafeUniformIntDistribution, xoroshiro128plus } from 'pure-rand';
-import { ControllerNode } from '../../src/node.js';
+import { ControllerNode } from '../../src/controller/node.js';
 import { createPolicy } from '../../src/policy.js';
 import { lastingLimits, parseSettings, timing, type PlatformSettings } from '../../src/settings.js';
 import { Checker, type SubmittedJob } from './checker.js';
