--- /dev/null
+++ b/test/explore.test.ts
@@ -0,0 +1,32 @@
+/** Model checking of the election: every interleaving up to a depth, and a mutant for each guard. */
+import { expect, test } from 'vitest';
+import { explore, type Bounds, type Mutant } from './standins/explore.js';
+
+const deep = Number(process.env['DEPTH'] ?? 0);
+const BOUNDS: Bounds =
+  deep > 0
+    ? { depth: deep, faults: 4, states: 3_000_000, settleEvery: 100 }
+    : { depth: 9, faults: 3, states: 60_000, settleEvery: 20 };
+
+test('no two leaders write, leadership settles: every interleaving up to a depth', () => {
+  const found = explore(BOUNDS);
+  if (deep > 0) console.log(`${found.states} states`);
+  expect(found.path).toEqual([]);
+  expect(found.broken).toEqual([]);
+  expect(found.states).toBeGreaterThan(20_000);
+}, 3_600_000);
+
+const MUTANTS: readonly Mutant[] = [
+  'stands without the condition on the term',
+  'names without the condition on the record',
+  'takes an unknown outcome for its own',
+  'takes any record of the term for its own',
+  'goes on after its lease has ended',
+  'hands over for ever',
+  'follows no record',
+];
+
+test.each(MUTANTS)('the explorer catches a machine that %s', (mutant) => {
+  const found = explore({ ...BOUNDS, settleEvery: 1 }, mutant);
+  expect(found.broken.length).toBeGreaterThan(0);
+});
--- /dev/null
+++ b/test/standins/explore.ts
@@ -0,0 +1,486 @@
+/**
+ * Explores interleavings of the real election machine: three controllers, one state service, answers
+ * lost, transactions applied late, leases that end at any moment, restarts, false verdicts of a crash,
+ * hand-overs that nobody asked for. Time is left out: a timer may fire whenever it likes, which covers
+ * stalls and clocks that are apart.
+ */
+import {
+  createElection,
+  electionStep,
+  type ElectionEffect,
+  type ElectionEvent,
+  type ElectionState,
+  type Kept,
+} from '../../src/membership/election.js';
+import type { LeaderRecord } from '../../src/core/records.js';
+import { timing } from '../../src/settings.js';
+import { testSettings } from './world.js';
+
+const NODES = ['n-0', 'n-1', 'n-2'];
+const TIMES = timing(testSettings(0));
+
+type Asked = Exclude<ElectionEffect, { kind: 'elected' | 'lost' | 'leaderKnown' }>;
+type Transaction = Extract<ElectionEffect, { kind: 'stand' | 'name' }>;
+
+interface Node {
+  election: ElectionState;
+  /** Asked for and not answered yet, oldest first. */
+  asked: Asked[];
+}
+
+interface Store {
+  revision: number;
+  leader: { record: LeaderRecord; stamp: number; lease: number } | null;
+  term: { value: number; stamp: number } | null;
+  leases: number[];
+  nextLease: number;
+}
+
+interface Scene {
+  readonly nodes: Node[];
+  readonly store: Store;
+  /** Transactions that were given up, and may be applied still. */
+  late: Transaction[];
+  lives: number;
+  faults: number;
+  /** Who was elected for each term. */
+  readonly elected: Record<number, string>;
+}
+
+/** A guard left out; each must be caught. */
+export type Mutant =
+  | 'stands without the condition on the term'
+  | 'names without the condition on the record'
+  | 'takes an unknown outcome for its own'
+  | 'takes any record of the term for its own'
+  | 'goes on after its lease has ended'
+  | 'hands over for ever'
+  | 'follows no record';
+
+export interface Found {
+  readonly states: number;
+  readonly broken: readonly string[];
+  /** The steps that lead to the first broken state. */
+  readonly path: readonly string[];
+}
+
+const copy = (scene: Scene): Scene => ({
+  nodes: scene.nodes.map(({ election, asked }) => ({
+    election: { ...election, holding: election.holding === null ? null : { ...election.holding } },
+    asked: [...asked],
+  })),
+  store: { ...scene.store, leases: [...scene.store.leases] },
+  late: [...scene.late],
+  lives: scene.lives,
+  faults: scene.faults,
+  elected: { ...scene.elected },
+});
+
+class Explorer {
+  readonly broken: string[] = [];
+
+  constructor(private readonly mutant: Mutant | null) {}
+
+  start(): Scene {
+    const scene: Scene = {
+      nodes: [],
+      store: { revision: 1, leader: null, term: null, leases: [], nextLease: 1 },
+      late: [],
+      lives: 0,
+      faults: 0,
+      elected: {},
+    };
+    for (const name of NODES) {
+      scene.nodes.push({ election: this.#born(scene, name), asked: [] });
+    }
+    for (const node of scene.nodes) this.tell(scene, node, { kind: 'start' });
+    return scene;
+  }
+
+  #born(scene: Scene, name: string): ElectionState {
+    return createElection(name, `life-${scene.lives++}`, TIMES, name === 'n-2' ? 4 * TIMES.tick : 0);
+  }
+
+  tell(scene: Scene, node: Node, event: ElectionEvent): void {
+    const { election } = node;
+    for (const effect of electionStep(election, this.#bend(election, event))) {
+      if (effect.kind === 'elected') {
+        const { term } = effect.won;
+        const before = scene.elected[term];
+        if (before !== undefined && before !== election.incarnation)
+          this.broken.push(`two were elected for term ${term}`);
+        scene.elected[term] = election.incarnation;
+      } else if (effect.kind !== 'lost' && effect.kind !== 'leaderKnown') node.asked.push(effect);
+    }
+  }
+
+  /** Some guards are left out by what the machine is told. */
+  #bend(election: ElectionState, event: ElectionEvent): ElectionEvent {
+    if (this.mutant === 'takes an unknown outcome for its own' && event.kind === 'stood')
+      return event.outcome === 'unknown' ? { ...event, outcome: 'applied', revision: 1 } : event;
+    if (this.mutant === 'goes on after its lease has ended' && event.kind === 'renewed')
+      return { ...event, alive: true };
+    if (this.mutant === 'takes any record of the term for its own' && event.kind === 'checked') {
+      const { leader } = event;
+      if (leader !== 'unknown' && leader.value !== null)
+        return {
+          ...event,
+          leader: { ...leader, value: { ...leader.value, incarnation: election.incarnation } },
+        };
+    }
+    if (
+      this.mutant === 'goes on after its lease has ended' &&
+      event.kind === 'read' &&
+      election.holding !== null
+    )
+      return { ...event, leader: 'unknown' };
+    if (this.mutant === 'follows no record' && event.kind === 'read' && event.leader !== 'unknown')
+      return election.holding === null ? { ...event, leader: { value: null, stamp: 0 } } : event;
+    return event;
+  }
+
+  /** A transaction, as the state service takes it; the revision it made, or null if a condition failed. */
+  #apply({ store }: Scene, txn: Transaction): number | null {
+    const leaderStamp = store.leader?.stamp ?? 0;
+    const termStamp = store.term?.stamp ?? 0;
+    const free = this.mutant === 'stands without the condition on the term' && txn.kind === 'stand';
+    const loose = this.mutant === 'names without the condition on the record' && txn.kind === 'name';
+    if (!free && txn.termStamp !== termStamp && !loose) return null;
+    if (!free && !loose && txn.leaderStamp !== leaderStamp) return null;
+    if (!store.leases.includes(txn.lease)) return null;
+    store.revision += 1;
+    store.leader = { record: txn.record, stamp: store.revision, lease: txn.lease };
+    if (txn.kind === 'stand') store.term = { value: txn.record.term, stamp: store.revision };
+    return store.revision;
+  }
+
+  #leader({ store }: Scene): Kept<LeaderRecord> {
+    return { value: store.leader?.record ?? null, stamp: store.leader?.stamp ?? 0 };
+  }
+
+  #term({ store }: Scene): Kept<number> {
+    return { value: store.term?.value ?? null, stamp: store.term?.stamp ?? 0 };
+  }
+
+  endLease({ store }: Scene, lease: number): void {
+    store.leases = store.leases.filter((one) => one !== lease);
+    if (store.leader?.lease === lease) {
+      store.leader = null;
+      store.revision += 1;
+    }
+  }
+
+  /** Serves what a node has asked for; `lost`: it gets no answer. */
+  serve(scene: Scene, node: Node, at: number, lost: boolean): void {
+    const [asked] = node.asked.splice(at, 1);
+    if (asked === undefined) return;
+    const { store } = scene;
+    switch (asked.kind) {
+      case 'wait':
+        this.tell(scene, node, { kind: 'time', round: asked.round });
+        break;
+      case 'read':
+        this.tell(scene, node, {
+          kind: 'read',
+          round: asked.round,
+          leader: lost ? 'unknown' : this.#leader(scene),
+        });
+        break;
+      case 'watch':
+        this.tell(scene, node, { kind: 'watched', round: asked.round, answered: !lost });
+        break;
+      case 'grant': {
+        const lease = store.nextLease++;
+        store.leases.push(lease);
+        const term = this.#term(scene);
+        this.tell(scene, node, {
+          kind: 'granted',
+          round: asked.round,
+          lease: lost ? null : lease,
+          term: lost ? 'unknown' : term,
+          now: 0,
+        });
+        break;
+      }
+      case 'check':
+        this.tell(scene, node, {
+          kind: 'checked',
+          round: asked.round,
+          leader: lost ? 'unknown' : this.#leader(scene),
+          term: lost ? 'unknown' : this.#term(scene),
+        });
+        break;
+      case 'renew':
+        this.tell(scene, node, {
+          kind: 'renewed',
+          round: asked.round,
+          alive: lost ? null : store.leases.includes(asked.lease),
+        });
+        break;
+      case 'revoke':
+        if (!lost) this.endLease(scene, asked.lease);
+        break;
+      case 'stand':
+      case 'name': {
+        const revision = this.#apply(scene, asked);
+        const outcome = lost ? 'unknown' : revision === null ? 'failed' : 'applied';
+        const kind = asked.kind === 'stand' ? 'stood' : 'named';
+        this.tell(scene, node, { kind, round: asked.round, outcome, revision: revision ?? 0 });
+        break;
+      }
+    }
+  }
+
+  /** Gives a transaction up without an answer; it may be applied at any time later. */
+  orphan(scene: Scene, node: Node, at: number): void {
+    const [asked] = node.asked.splice(at, 1);
+    if (asked === undefined || (asked.kind !== 'stand' && asked.kind !== 'name')) return;
+    scene.late.push(asked);
+    const kind = asked.kind === 'stand' ? 'stood' : 'named';
+    this.tell(scene, node, { kind, round: asked.round, outcome: 'unknown', revision: 0 });
+  }
+
+  /** Everything that may happen next, each as a copy of the scene. */
+  next(scene: Scene, faults: number): [string, Scene][] {
+    const found: [string, Scene][] = [];
+    const take = (name: string, fault: boolean, act: (next: Scene) => void): void => {
+      if (fault && scene.faults >= faults) return;
+      const after = copy(scene);
+      if (fault) after.faults += 1;
+      act(after);
+      found.push([name, after]);
+    };
+    scene.nodes.forEach((node, i) => {
+      const of = (next: Scene): Node => next.nodes[i] as Node;
+      const { election } = node;
+      node.asked.forEach((asked, at) => {
+        const what = `${election.node} ${asked.kind}`;
+        // Nothing changed: the answer to a watch would change nothing either.
+        const idle = asked.kind === 'watch' && asked.stamp === (scene.store.leader?.stamp ?? 0);
+        if (!idle) take(what, false, (next) => this.serve(next, of(next), at, false));
+        if (asked.kind !== 'wait' && asked.kind !== 'watch')
+          take(`${what} without answer`, true, (next) => this.serve(next, of(next), at, true));
+        if (asked.kind === 'stand' || asked.kind === 'name')
+          take(`${what} held back`, true, (next) => this.orphan(next, of(next), at));
+      });
+      if (election.phase === 'following')
+        take(`${election.node} takes the leader for crashed`, true, (next) =>
+          this.tell(next, of(next), { kind: 'inherit', stamp: of(next).election.followed }),
+        );
+      if (election.phase === 'holding') {
+        const to = NODES[(i + 1) % NODES.length] as string;
+        take(`${election.node} hands over`, true, (next) =>
+          this.tell(next, of(next), { kind: 'handOver', to }),
+        );
+        take(`${election.node} steps down`, true, (next) => this.tell(next, of(next), { kind: 'abandon' }));
+      }
+      take(`${election.node} starts anew`, true, (next) => {
+        const born = of(next);
+        for (const asked of born.asked)
+          if (asked.kind === 'stand' || asked.kind === 'name') next.late.push(asked);
+        born.election = this.#born(next, election.node);
+        born.asked = [];
+        this.tell(next, born, { kind: 'start' });
+      });
+    });
+    scene.late.forEach((txn, at) =>
+      take(`late ${txn.kind} of ${txn.record.node}`, false, (next) => {
+        next.late.splice(at, 1);
+        this.#apply(next, txn);
+      }),
+    );
+    for (const lease of scene.store.leases)
+      take(`lease ${lease} ends`, true, (next) => this.endLease(next, lease));
+    return found;
+  }
+
+  /** What must hold in every state. */
+  check(scene: Scene): void {
+    const termStamp = scene.store.term?.stamp ?? 0;
+    const { leader, term } = scene.store;
+    if (leader !== null && leader.record.term !== term?.value)
+      this.broken.push('the record tells of another term than the one in force');
+    const writers = scene.nodes.filter(({ election }) => election.holding?.won.stamp === termStamp);
+    if (writers.length > 1) this.broken.push('the writes of two leaders would be applied');
+    for (const { election } of writers) {
+      const { won } = election.holding as { won: { term: number } };
+      if (won.term !== scene.store.term?.value)
+        this.broken.push('a leader writes under a term that is not its own');
+    }
+  }
+
+  /**
+   * From here on nothing fails, and whoever renews its lease keeps it: within a bound one leads whom all
+   * others follow, and it stays so.
+   */
+  settles(from: Scene): void {
+    const scene = copy(from);
+    const settled = (): string | null => {
+      const leaders = scene.nodes.filter(({ election }) => election.phase === 'holding');
+      const [one] = leaders;
+      if (leaders.length !== 1 || one === undefined) return null;
+      const stamp = scene.store.leader?.stamp;
+      const all = scene.nodes.every(
+        ({ election }) =>
+          election === one.election || (election.phase === 'following' && election.followed === stamp),
+      );
+      return all && one.election.holding?.named === null ? one.election.incarnation : null;
+    };
+    const round = (): void => {
+      const renewed = new Set<number>();
+      for (const node of scene.nodes) {
+        if (this.mutant === 'hands over for ever' && node.election.phase === 'holding')
+          this.tell(scene, node, {
+            kind: 'handOver',
+            to: NODES.find((name) => name !== node.election.node) as string,
+          });
+        // Timers once each; whatever else there is to be answered until nothing is left.
+        for (let left = node.asked.length; left > 0; left -= 1) {
+          const at = node.asked.findIndex(({ kind }) => kind === 'wait');
+          if (at < 0) break;
+          this.serve(scene, node, at, false);
+        }
+        for (let steps = 0; steps < 40; steps += 1) {
+          const stamp = scene.store.leader?.stamp ?? 0;
+          const at = node.asked.findIndex(
+            (asked) => asked.kind !== 'wait' && !(asked.kind === 'watch' && asked.stamp === stamp),
+          );
+          if (at < 0) break;
+          const asked = node.asked[at];
+          if (asked?.kind === 'renew') renewed.add(asked.lease);
+          this.serve(scene, node, at, false);
+        }
+      }
+      for (const lease of [...scene.store.leases]) {
+        const held = scene.nodes.some(({ election }) => election.holding?.lease === lease);
+        if (!held && !renewed.has(lease)) this.endLease(scene, lease);
+      }
+    };
+    for (let i = 0; i < 10; i += 1) round();
+    const leader = settled();
+    if (leader === null)
+      this.broken.push('nobody leads whom all others follow, though nothing fails any more');
+    for (let i = 0; i < 4; i += 1) round();
+    if (settled() !== leader) this.broken.push('leadership moves on though nothing fails any more');
+  }
+}
+
+/** Two states that differ only in how large their numbers have grown are the same. */
+function keyOf(scene: Scene): string {
+  const { store } = scene;
+  const stamps = new Set<number>([0, store.leader?.stamp ?? 0, store.term?.stamp ?? 0]);
+  const terms = new Set<number>([store.term?.value ?? 0, store.leader?.record.term ?? 0]);
+  const leases = new Set<number>(store.leases);
+  const asked = [...scene.nodes.flatMap((node) => node.asked), ...scene.late];
+  for (const one of asked) {
+    if ('stamp' in one) stamps.add(one.stamp);
+    if ('leaderStamp' in one) stamps.add(one.leaderStamp).add(one.termStamp);
+    if ('record' in one) terms.add(one.record.term);
+    if ('lease' in one) leases.add(one.lease);
+  }
+  for (const { election } of scene.nodes) {
+    stamps.add(election.followed).add(election.leaderStamp);
+    if (election.holding !== null) {
+      stamps.add(election.holding.leaderStamp).add(election.holding.won.stamp);
+      terms.add(election.holding.won.term);
+      leases.add(election.holding.lease);
+    }
+    if (election.standsFor !== null) {
+      stamps.add(election.standsFor.termStamp);
+      terms.add(election.standsFor.term);
+    }
+  }
+  const rank = (numbers: Set<number>): ((n: number) => number) => {
+    const sorted = [...numbers].sort((a, b) => a - b);
+    return (n) => sorted.indexOf(n);
+  };
+  const [stamp, term, lease] = [rank(stamps), rank(terms), rank(leases)];
+  const record = (one: LeaderRecord): string =>
+    `${one.node}${one.incarnation}${term(one.term)}${one.successor ?? ''}`;
+  const transaction = (one: Transaction): string =>
+    `${one.kind}${record(one.record)}${lease(one.lease)},${stamp(one.leaderStamp)},${stamp(one.termStamp)}`;
+  return JSON.stringify([
+    scene.faults,
+    store.leader && [record(store.leader.record), stamp(store.leader.stamp), lease(store.leader.lease)],
+    store.term && [term(store.term.value), stamp(store.term.stamp)],
+    store.leases.map(lease),
+    scene.late.map(transaction),
+    scene.nodes.map(({ election: e, asked: all }) => [
+      e.incarnation,
+      e.phase,
+      e.deferred,
+      stamp(e.followed),
+      stamp(e.leaderStamp),
+      e.lease === null ? null : lease(e.lease),
+      e.standsFor && [term(e.standsFor.term), stamp(e.standsFor.termStamp)],
+      e.holding && [
+        lease(e.holding.lease),
+        term(e.holding.won.term),
+        stamp(e.holding.won.stamp),
+        e.holding.named,
+      ],
+      all.map((one) => [
+        one.kind,
+        // Of its round only counts whether it is one that is waited for.
+        'round' in one ? [e.round, e.renewal, e.sentry].indexOf(one.round) : null,
+        'stamp' in one ? stamp(one.stamp) : null,
+        'lease' in one ? lease(one.lease) : null,
+        'record' in one ? transaction(one) : null,
+      ]),
+    ]),
+  ]);
+}
+
+export interface Bounds {
+  /** Steps from the start, faults among them, and states at most. */
+  readonly depth: number;
+  readonly faults: number;
+  readonly states: number;
+  /** From every so many of the states it is tried whether all settles once nothing fails. */
+  readonly settleEvery: number;
+}
+
+/** Breadth first from a service that has a leader: the shortest way to whatever is broken. */
+export function explore(bounds: Bounds, mutant: Mutant | null = null): Found {
+  const explorer = new Explorer(mutant);
+  const first = explorer.start();
+  // Everybody asks, one is elected, the others follow.
+  for (let i = 0; i < 12; i += 1)
+    for (const node of first.nodes) {
+      const stamp = first.store.leader?.stamp ?? 0;
+      const at = node.asked.findIndex(
+        (asked) => asked.kind !== 'wait' && !(asked.kind === 'watch' && asked.stamp === stamp),
+      );
+      if (at >= 0) explorer.serve(first, node, at, false);
+    }
+  const seen = new Map<string, readonly [string, string] | null>([[keyOf(first), null]]);
+  let level: [string, Scene][] = [[keyOf(first), first]];
+  const pathTo = (key: string): string[] => {
+    const path: string[] = [];
+    for (let at = seen.get(key); at !== null && at !== undefined; at = seen.get(at[0])) path.unshift(at[1]);
+    return path;
+  };
+  const judge = (key: string, scene: Scene): Found | null => {
+    explorer.check(scene);
+    if (seen.size % bounds.settleEvery === 0) explorer.settles(scene);
+    return explorer.broken.length === 0
+      ? null
+      : { states: seen.size, broken: explorer.broken, path: pathTo(key) };
+  };
+  for (let depth = 0; depth < bounds.depth && level.length > 0; depth += 1) {
+    const deeper: [string, Scene][] = [];
+    for (const [from, scene] of level) {
+      for (const [name, after] of explorer.next(scene, bounds.faults)) {
+        const key = keyOf(after);
+        if (seen.has(key) && explorer.broken.length === 0) continue;
+        seen.set(key, [from, name]);
+        const found = judge(key, after);
+        if (found !== null) return found;
+        if (seen.size >= bounds.states) return { states: seen.size, broken: [], path: [] };
+        deeper.push([key, after]);
+      }
+    }
+    level = deeper;
+  }
+  return { states: seen.size, broken: [], path: [] };
+}
