--- a/bench/between.mjs
+++ b/bench/between.mjs
@@ -2,11 +2,12 @@
 //   node bench/between.mjs [--against COMMIT] [--days 34]
 // Seconds of the tests' virtual time: median / ninth tenth / worst. A column that a version does not log is empty.
 import { execFile, execFileSync } from 'node:child_process';
-import { existsSync, mkdirSync } from 'node:fs';
+import { existsSync } from 'node:fs';
 import { availableParallelism } from 'node:os';
 import { join, resolve } from 'node:path';
 import { parseArgs, promisify } from 'node:util';
 import { build } from 'esbuild';
+import { bundleVersions } from './versions.mjs';
 
 const { values } = parseArgs({ options: { against: { type: 'string' }, days: { type: 'string', default: '34' } } });
 
@@ -37,16 +38,7 @@
   return outfile;
 }
 
-mkdirSync('target/bench', { recursive: true });
-const versions = [];
-if (values.against !== undefined) {
-  const folder = resolve('target', 'bench', 'between');
-  mkdirSync(folder, { recursive: true });
-  const archive = execFileSync('git', ['archive', values.against, 'src'], { maxBuffer: 1 << 28 });
-  execFileSync('tar', ['-x', '-C', folder], { input: archive });
-  versions.push(['before', await bundle('before', join(folder, 'src'))]);
-}
-versions.push(['now', await bundle('now', resolve('src'))]);
+const versions = await bundleVersions(values.against, 'between', bundle);
 
 const run = promisify(execFile);
 const kinds = JSON.parse(execFileSync('node', [versions[0][1]], { encoding: 'utf8' }));
--- a/bench/run.mjs
+++ b/bench/run.mjs
@@ -6,6 +6,7 @@
 import { join, resolve } from 'node:path';
 import { parseArgs } from 'node:util';
 import { build } from 'esbuild';
+import { bundleVersions } from './versions.mjs';
 
 const { values } = parseArgs({
   options: {
@@ -50,15 +51,7 @@
   return outfile;
 }
 
-const versions = [];
-if (values.against !== undefined) {
-  const folder = resolve('target', 'bench', 'before');
-  mkdirSync(folder, { recursive: true });
-  const archive = execFileSync('git', ['archive', values.against, 'src'], { maxBuffer: 1 << 28 });
-  execFileSync('tar', ['-x', '-C', folder], { input: archive });
-  versions.push(['before', await bundle('before', join(folder, 'src'))]);
-}
-versions.push(['now', await bundle('now', resolve('src'))]);
+const versions = await bundleVersions(values.against, 'before', bundle);
 
 console.log(
   '| machines | phase | version | placed | ms a report | ms a placed task | ms a tick | worst ms | share of a core |',
--- /dev/null
+++ b/bench/versions.mjs
@@ -0,0 +1,19 @@
+// Today's sources and, if a commit is named, those of that commit, each bundled for a benchmark.
+import { execFileSync } from 'node:child_process';
+import { mkdirSync } from 'node:fs';
+import { join, resolve } from 'node:path';
+
+/** `bundle(name, source)` gives the bundle's file; the earlier version comes first. */
+export async function bundleVersions(against, folder, bundle) {
+  mkdirSync('target/bench', { recursive: true });
+  const versions = [];
+  if (against !== undefined) {
+    const at = resolve('target', 'bench', folder);
+    mkdirSync(at, { recursive: true });
+    const archive = execFileSync('git', ['archive', against, 'src'], { maxBuffer: 1 << 28 });
+    execFileSync('tar', ['-x', '-C', at], { input: archive });
+    versions.push(['before', await bundle('before', join(at, 'src'))]);
+  }
+  versions.push(['now', await bundle('now', resolve('src'))]);
+  return versions;
+}
