--- a/bench/fleet.ts
+++ b/bench/fleet.ts
@@ -1,6 +1,6 @@
 /** One version of the core through a start, a burst, a mass loss and a takeover, at one size. */
 import { core, records } from '#version';
-import { FleetWorld } from './world.js';
+import { FleetWorld, HUGE, TINY } from './world.js';
 
 const fleet = Number(process.argv[2] ?? 600);
 const world = new FleetWorld(core, records, fleet);
@@ -42,4 +42,6 @@
   world.lose(1 / 3);
 });
 phase('takeover', 30, () => world.takeover());
+phase('huge array', 60, () => world.guests([HUGE]));
+phase('tiny jobs', 60, () => world.guests(Array.from({ length: 400 }, () => TINY)));
 process.stdout.write(JSON.stringify(rows) + '\n');
--- a/bench/world.ts
+++ b/bench/world.ts
@@ -59,6 +59,22 @@
   },
 ];
 
+/** What a guest team comes with: one array of very many short tasks, or many jobs of one. */
+export const HUGE: Shape = {
+  jobClass: 'hymnal',
+  priority: 2,
+  tasks: 20_000,
+  cpus: 1,
+  memoryGb: 1,
+  runS: 3,
+  images: 1,
+  imageGb: 0.5,
+  deadline: () => 3000,
+  rate: 0,
+  first: 0,
+};
+export const TINY: Shape = { ...HUGE, jobClass: 'playback', tasks: 1, runS: 5 };
+
 export const settings = {
   host_name: 'n-0',
   zone: 'a',
@@ -250,6 +266,10 @@
     this.#pending.push({ kind: 'jobAdded', job: { value: spec, stamp: this.#revision } });
   }
 
+  guests(shapes: readonly Shape[]): void {
+    for (const shape of shapes) this.#submit(shape);
+  }
+
   #boot(name: string, zone: string): void {
     const machine: Machine = {
       name,
--- a/src/adapters/admission.ts
+++ b/src/adapters/admission.ts
@@ -2,7 +2,8 @@
  * How many users' requests are under way at once. A node that waits for the state service, or
  * for its own processor, says so at once rather than pile up what it cannot serve; polls
  * give way before submissions and cancellations. Who is refused is told when to come back,
- * the later the more were refused of late, and not all at the same time.
+ * the later the more were refused of late, and not all at the same time; and when it asks about the
+ * same job again, it goes before those that were not refused.
  */
 import type { Clock } from '../clock.js';
 
@@ -13,9 +14,12 @@
 /** Nobody is told to stay away for longer, in seconds. */
 const LONGEST_AWAY = 10;
 const LEAST = 16;
+/** Jobs of which it is remembered that a question about them was refused; the oldest are forgotten first. */
+const MOST_REFUSED = 5000;
 
 export class Admission {
   #underWay = 0;
+  readonly #jobs = new Set<string>();
   #refused = 0;
   #since: number;
 
@@ -29,15 +33,25 @@
   }
 
   /** Takes a request in (null), or says in how many seconds it may be made again. */
-  enter(kind: RequestKind): number | null {
-    const most = kind === 'show' ? POLL_SHARE * this.most : this.most;
+  enter(kind: RequestKind, job?: string): number | null {
+    const preferred = job !== undefined && this.#jobs.has(job);
+    const most = kind === 'show' && !preferred ? POLL_SHARE * this.most : this.most;
     if (this.#underWay < most) {
       this.#underWay += 1;
+      if (preferred) this.#jobs.delete(job);
       return null;
     }
+    if (job !== undefined) this.#remember(job);
     return this.away();
   }
 
+  #remember(job: string): void {
+    this.#jobs.add(job);
+    if (this.#jobs.size <= MOST_REFUSED) return;
+    const [oldest] = this.#jobs;
+    if (oldest !== undefined) this.#jobs.delete(oldest);
+  }
+
   leave(): void {
     this.#underWay -= 1;
   }
--- /dev/null
+++ b/src/adapters/reads.ts
@@ -0,0 +1,189 @@
+/**
+ * What users ask about jobs, answered by a few requests however many ask. A mirror of the live jobs is
+ * brought up to date by one question to the state service for all that came in before it was sent; so
+ * each answer is as fresh as if its job had been read after the user asked. What has ended is final,
+ * and read once. docs/reads.md weighs this against other ways.
+ */
+import type { Clock } from '../clock.js';
+import { decodeEnded, decodeJob, endedKey, JOB_PREFIX, jobKey, jobOfKey } from '../core/records.js';
+import type { EndedRecord, JobSpec } from '../core/types.js';
+import type { Change } from '../wire/state.js';
+import type { StateService } from './state.js';
+
+export type FoundJob =
+  | { readonly kind: 'live'; readonly spec: JobSpec; readonly stamp: number }
+  /** It was accepted and has not ended, and its description cannot be read. */
+  | { readonly kind: 'damaged'; readonly stamp: number }
+  | { readonly kind: 'ended'; readonly record: EndedRecord }
+  | { readonly kind: 'none' }
+  | { readonly kind: 'unknown' };
+
+const UNKNOWN: FoundJob = { kind: 'unknown' };
+const ENDED_KEPT = 5000;
+/** Jobs of one round that may have to be read one by one; the others wait for the next. */
+const MOST_READ = 32;
+/** Share of the state service's requests that a node's rounds may take. */
+const ROUND_SHARE = 0.05;
+
+const foundLive = (value: unknown, stamp: number): FoundJob => {
+  const spec = decodeJob(value);
+  return spec === null ? { kind: 'damaged', stamp } : { kind: 'live', spec, stamp };
+};
+
+/** A job as the state service has it now, by itself. */
+export async function readJob(state: StateService, id: string): Promise<FoundJob> {
+  // In this order: a job moves from one key to the other, and never back.
+  const live = await state.read(jobKey(id));
+  if (live === 'unknown') return UNKNOWN;
+  if (live.entry !== null) return foundLive(live.entry.value, live.entry.stamp);
+  return readEnded(state, id);
+}
+
+async function readEnded(state: StateService, id: string): Promise<FoundJob> {
+  const ended = await state.read(endedKey(id));
+  if (ended === 'unknown') return UNKNOWN;
+  if (ended.entry === null) return { kind: 'none' };
+  const record = decodeEnded(ended.entry.value);
+  return record === null ? UNKNOWN : { kind: 'ended', record };
+}
+
+interface Question {
+  readonly id: string;
+  readonly answer: (found: FoundJob) => void;
+}
+
+export class JobReads {
+  /** Ended jobs never change again, so what is known of them needs no read. */
+  readonly #ended = new Map<string, EndedRecord>();
+  readonly #live = new Map<string, FoundJob>();
+  /** The mirror is whole as of this revision; null: it has to be loaded. */
+  #revision: number | null = null;
+  #questions: Question[] = [];
+  #running = false;
+  readonly #pace: number;
+
+  constructor(
+    private readonly state: StateService,
+    private readonly clock: Clock,
+    rps: number,
+    /** Conditions that a transaction may have. */
+    private readonly conditions: number,
+  ) {
+    this.#pace = 1000 / (ROUND_SHARE * rps);
+  }
+
+  knowsEnded(id: string): boolean {
+    return this.#ended.has(id);
+  }
+
+  /** A committed end. */
+  keep(id: string, record: EndedRecord): void {
+    this.#ended.set(id, record);
+    if (this.#ended.size <= ENDED_KEPT) return;
+    const [oldest] = this.#ended.keys();
+    if (oldest !== undefined) this.#ended.delete(oldest);
+  }
+
+  /** A job as the state service had it at some moment after this was asked. */
+  find(id: string): Promise<FoundJob> {
+    const record = this.#ended.get(id);
+    if (record !== undefined) return Promise.resolve({ kind: 'ended', record });
+    return new Promise((answer) => {
+      this.#questions.push({ id, answer });
+      if (!this.#running) void this.#run();
+    });
+  }
+
+  async #run(): Promise<void> {
+    this.#running = true;
+    // All that has come in by now shares the first round.
+    await new Promise<void>((resolve) => this.clock.soon(resolve));
+    while (this.#questions.length > 0) {
+      const from = this.clock.mono();
+      const asked = this.#questions;
+      this.#questions = [];
+      await this.#round(asked);
+      const left = this.#pace - (this.clock.mono() - from);
+      if (this.#questions.length === 0 || left <= 0) continue;
+      await this.clock.sleep(Math.ceil(left));
+    }
+    this.#running = false;
+  }
+
+  /** Answers all of these by the state as of now or later. */
+  async #round(asked: readonly Question[]): Promise<void> {
+    const seen = new Set(asked.map(({ id }) => id).filter((id) => this.#live.has(id)));
+    if (!(await this.#refresh())) {
+      for (const { answer } of asked) answer(UNKNOWN);
+      return;
+    }
+    const gone = new Map<string, Question[]>();
+    for (const question of asked) {
+      const found = this.#live.get(question.id);
+      if (found !== undefined) question.answer(found);
+      else gone.set(question.id, [...(gone.get(question.id) ?? []), question]);
+    }
+    const none = await this.#absent([...gone.keys()].filter((id) => !seen.has(id)));
+    let reads = 0;
+    await Promise.all(
+      [...gone].map(async ([id, questions]) => {
+        const record = this.#ended.get(id);
+        if (record === undefined && !none.has(id) && ++reads > MOST_READ) {
+          this.#questions.push(...questions);
+          return;
+        }
+        const found: FoundJob =
+          record !== undefined
+            ? { kind: 'ended', record }
+            : none.has(id)
+              ? { kind: 'none' }
+              : await readEnded(this.state, id);
+        if (found.kind === 'ended') this.keep(id, found.record);
+        for (const { answer } of questions) answer(found);
+      }),
+    );
+  }
+
+  /** Brings the mirror up to the present; false: the state service does not answer. */
+  async #refresh(): Promise<boolean> {
+    if (this.#revision !== null) {
+      const found = await this.state.changes(JOB_PREFIX, this.#revision);
+      if (found.kind === 'unknown') return false;
+      if (found.kind === 'changes') {
+        for (const change of found.changes) this.#take(change);
+        this.#revision = found.revision;
+        return true;
+      }
+    }
+    this.#revision = null;
+    const jobs = await this.state.list(JOB_PREFIX);
+    if (jobs === 'unknown') return false;
+    this.#live.clear();
+    for (const { key, value, stamp } of jobs.entries) this.#live.set(jobOfKey(key), foundLive(value, stamp));
+    this.#revision = jobs.revision;
+    return true;
+  }
+
+  #take({ key, value, stamp }: Change): void {
+    if (value === undefined) this.#live.delete(jobOfKey(key));
+    else this.#live.set(jobOfKey(key), foundLive(value, stamp));
+  }
+
+  /**
+   * Which of these, known not to be live, have not ended either: nobody ever submitted them. One
+   * transaction that only compares asks for many; when any of them exists, each is read by itself.
+   */
+  async #absent(ids: readonly string[]): Promise<Set<string>> {
+    const none = new Set<string>();
+    if (ids.length < 2) return none;
+    for (let from = 0; from < ids.length; from += this.conditions) {
+      const some = ids.slice(from, from + this.conditions);
+      const outcome = await this.state.commit({
+        when: some.map((id) => ({ key: endedKey(id), stamp: 0 })),
+        apply: [],
+      });
+      if (outcome.kind === 'applied') for (const id of some) none.add(id);
+    }
+    return none;
+  }
+}
--- a/src/adapters/server.ts
+++ b/src/adapters/server.ts
@@ -1,5 +1,5 @@
-/** The node's public port: workers' reports on a short path, everything else by express. */
-import express, { type ErrorRequestHandler, type RequestHandler, type Response } from 'express';
+/** The node's public port: workers' reports and questions about jobs on a short path, all else by express. */
+import express, { type ErrorRequestHandler, type RequestHandler } from 'express';
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { parseJson } from '../core/values.js';
 import type { Latencies } from '../latency.js';
@@ -45,6 +45,9 @@
 
 const BUSY = '{"error":"too many requests under way, try again"}';
 
+/** Users ask many times as often as all else together, and most of an answer's cost was finding the way. */
+const QUESTION = /^\/v2\/runs\/([^/?#]+)$/;
+
 const notAllowed: RequestHandler = (_request, response) =>
   sendJson(response, 405, '{"error":"method not allowed"}');
 
@@ -63,11 +66,12 @@
   const { users } = served;
   const serve = async (
     kind: RequestKind,
-    response: Response,
+    response: ServerResponse,
     ask: () => Promise<UserAnswer>,
+    job?: string,
   ): Promise<void> => {
     const { admission } = served;
-    const awayS = admission.enter(kind);
+    const awayS = admission.enter(kind, job);
     if (awayS !== null) {
       sendJson(response, 503, BUSY, awayS);
       return;
@@ -93,10 +97,7 @@
     .route('/v2/runs')
     .post(body, (request, response) => serve('submit', response, () => users.submit(request.body as unknown)))
     .all(notAllowed);
-  app
-    .route('/v2/runs/:id')
-    .get((request, response) => serve('show', response, () => users.show(request.params.id)))
-    .all(notAllowed);
+  app.route('/v2/runs/:id').all(notAllowed);
   app
     .route('/v2/runs/:id/withdraw')
     .post((request, response) => serve('withdraw', response, () => users.withdraw(request.params.id)))
@@ -110,7 +111,11 @@
   app.use(onError);
 
   const server = createServer({ keepAlive: true, noDelay: true }, (request, response) => {
-    if (request.method === 'POST' && request.url === '/v1/report') takeReport(served, request, response);
+    const { method, url = '' } = request;
+    const asked = method === 'GET' ? QUESTION.exec(url)?.[1] : undefined;
+    if (method === 'POST' && url === '/v1/report') takeReport(served, request, response);
+    else if (asked !== undefined)
+      serve('show', response, () => users.show(asked), asked).catch(() => sendJson(response, 503, BUSY));
     else app(request, response);
   });
   server.keepAliveTimeout = 120_000;
--- a/src/adapters/state.ts
+++ b/src/adapters/state.ts
@@ -37,6 +37,8 @@
   list(prefix: string): Promise<{ entries: Entry[]; revision: number } | 'unknown'>;
   commit(txn: Transaction): Promise<Commit>;
   watch(prefix: string, after: number, waitMs: number): Promise<Watch>;
+  /** What has changed since, at once; counted like a read, and not preferred to others. */
+  changes(prefix: string, after: number): Promise<Watch>;
   grant(lifeMs: number): Promise<number | null>;
   /** True: renewed; false: it has ended; null: no answer. */
   renew(lease: number): Promise<boolean | null>;
@@ -53,6 +55,15 @@
 
 const PAGE = 500;
 
+const watchPath = (prefix: string, after: number, waitMs: number): string =>
+  `/watch?prefix=${encodeURIComponent(prefix)}&after=${after}&waitMs=${Math.round(waitMs)}`;
+
+function watchOf({ status, body }: Answer): Watch {
+  if (status === 410) return { kind: 'tooOld' };
+  const found = status === 200 ? parseChanges(body) : null;
+  return found === null ? { kind: 'unknown' } : { kind: 'changes', ...found };
+}
+
 export class HttpStateService implements StateService {
   readonly #client: HttpClient;
   readonly #watches: HttpClient;
@@ -159,12 +170,18 @@
   async watch(prefix: string, after: number, waitMs: number): Promise<Watch> {
     this.#requests.force();
     const sentAt = this.clock.mono();
-    const path = `/watch?prefix=${encodeURIComponent(prefix)}&after=${after}&waitMs=${Math.round(waitMs)}`;
-    const answer = await this.#watches.call('GET', path, null, waitMs + this.#timing.stateTimeout);
+    const answer = await this.#watches.call(
+      'GET',
+      watchPath(prefix, after, waitMs),
+      null,
+      waitMs + this.#timing.stateTimeout,
+    );
     this.#note(answer, sentAt);
-    if (answer.status === 410) return { kind: 'tooOld' };
-    const found = answer.status === 200 ? parseChanges(answer.body) : null;
-    return found === null ? { kind: 'unknown' } : { kind: 'changes', ...found };
+    return watchOf(answer);
+  }
+
+  async changes(prefix: string, after: number): Promise<Watch> {
+    return watchOf(await this.#call('GET', watchPath(prefix, after, 0), null));
   }
 
   async grant(lifeMs: number): Promise<number | null> {
--- a/src/adapters/users.ts
+++ b/src/adapters/users.ts
@@ -3,8 +3,9 @@
 import { allows, fits } from '../core/room.js';
 import type { TeamLimits } from '../core/state.js';
 import type { Condition, EndedRecord, JobSpec, MachineType, Write } from '../core/types.js';
-import { decodeEnded, decodeJob, endedKey, jobBytes, jobKey } from '../core/records.js';
+import { endedKey, jobBytes, jobKey } from '../core/records.js';
 import { encodeJobView, JOB_ID, parseSubmission, type JobView } from '../wire/users.js';
+import { JobReads, type FoundJob } from './reads.js';
 import type { StateService } from './state.js';
 
 export interface UserAnswer {
@@ -14,32 +15,9 @@
 
 const RETRY: UserAnswer = { status: 503, body: { error: 'cannot decide now, try again' } };
 const NOT_FOUND: UserAnswer = { status: 404, body: { error: 'no such job' } };
-const ENDED_KEPT = 5000;
 /** Jobs that one poll looks through at most. */
 const MOST_SEARCHED = 50;
 
-export type FoundJob =
-  | { readonly kind: 'live'; readonly spec: JobSpec; readonly stamp: number }
-  | { readonly kind: 'ended'; readonly record: EndedRecord }
-  | { readonly kind: 'none' }
-  | { readonly kind: 'unknown' };
-
-/** A job as the state service has it now. */
-export async function readJob(state: StateService, id: string): Promise<FoundJob> {
-  // In this order: a job moves from one key to the other, and never back.
-  const live = await state.read(jobKey(id));
-  if (live === 'unknown') return { kind: 'unknown' };
-  if (live.entry !== null) {
-    const spec = decodeJob(live.entry.value);
-    return spec === null ? { kind: 'unknown' } : { kind: 'live', spec, stamp: live.entry.stamp };
-  }
-  const ended = await state.read(endedKey(id));
-  if (ended === 'unknown') return { kind: 'unknown' };
-  if (ended.entry === null) return { kind: 'none' };
-  const record = decodeEnded(ended.entry.value);
-  return record === null ? { kind: 'unknown' } : { kind: 'ended', record };
-}
-
 /** How a new job is entered. */
 interface Entry {
   readonly when: readonly Condition[];
@@ -53,6 +31,8 @@
   readonly teams: ReadonlyMap<string, TeamLimits>;
   /** How long one request may take in all, in milliseconds. */
   readonly patience: number;
+  /** Requests a second that the state service takes, now and later. */
+  readonly rps: number;
   /** Bytes that a description may take, now and later. */
   readonly valueBytes: number;
   /** Conditions that a transaction may have, now and later. */
@@ -66,10 +46,12 @@
 }
 
 export class Users {
-  /** Ended jobs never change again, so what is known of them needs no read. */
-  readonly #ended = new Map<string, EndedRecord>();
+  readonly #reads: JobReads;
 
-  constructor(private readonly context: UsersContext) {}
+  constructor(private readonly context: UsersContext) {
+    const { state, clock, rps, conditions } = context;
+    this.#reads = new JobReads(state, clock, rps, conditions);
+  }
 
   /** Why a sound description can never run, or null if it can. */
   #impossible(spec: JobSpec): string | null {
@@ -91,31 +73,24 @@
     return null;
   }
 
-  async #find(id: string): Promise<FoundJob> {
-    const kept = this.#ended.get(id);
-    if (kept !== undefined) return { kind: 'ended', record: kept };
-    const found = await readJob(this.context.state, id);
-    if (found.kind === 'ended') this.#keep(id, found.record);
-    return found;
-  }
-
-  #keep(id: string, record: EndedRecord): void {
-    this.#ended.set(id, record);
-    if (this.#ended.size <= ENDED_KEPT) return;
-    const [oldest] = this.#ended.keys();
-    if (oldest !== undefined) this.#ended.delete(oldest);
+  #find(id: string): Promise<FoundJob> {
+    return this.#reads.find(id);
   }
 
   #view(id: string, found: FoundJob): UserAnswer {
     if (found.kind === 'unknown') return RETRY;
     if (found.kind === 'none') return NOT_FOUND;
     let view: JobView;
+    // Accepted, and not ended: that much is certain, and a job that nobody can ask about is a forgotten one.
+    if (found.kind === 'damaged') return { status: 200, body: encodeJobView({ id, stage: 'pending' }) };
     if (found.kind === 'ended') view = { id, stage: found.record.stage, done: found.record.done, running: 0 };
     else {
       const counts = this.context.counts(id) ?? { done: 0, running: 0 };
       view = { id, stage: counts.running > 0 ? 'running' : 'pending', ...counts };
       const started = counts.running + counts.done > 0;
-      const awaits = started ? [] : (found.spec.awaits ?? []).filter((other) => !this.#ended.has(other));
+      const awaits = started
+        ? []
+        : (found.spec.awaits ?? []).filter((other) => !this.#reads.knowsEnded(other));
       view = { ...view, awaits };
     }
     return { status: 200, body: encodeJobView(view) };
@@ -126,7 +101,7 @@
     if (!parsed.ok) return { status: 400, body: { error: parsed.reason } };
     const spec = parsed.value;
     const { id } = spec;
-    if (this.#ended.has(id)) return this.#tell(id, await this.#find(id));
+    if (this.#reads.knowsEnded(id)) return this.#tell(id, await this.#find(id));
     if (this.context.types().size === 0) return RETRY;
     const reason = this.#impossible(spec);
     if (reason !== null) {
@@ -149,7 +124,7 @@
       if (outcome.kind === 'failed') return this.#tell(id, await this.#find(id));
       if (outcome.kind !== 'unknown') return RETRY;
       const found = await this.#find(id);
-      if (found.kind === 'live' || found.kind === 'ended') return this.#tell(id, found);
+      if (found.kind !== 'none' && found.kind !== 'unknown') return this.#tell(id, found);
     } while (this.context.clock.mono() < until);
     return RETRY;
   }
@@ -171,7 +146,7 @@
     if (!(await this.context.knowsPipelines())) return RETRY;
     if (awaits.includes(id)) return refuse(422, 'a job cannot await itself');
     const found = await Promise.all(awaits.map((other) => this.#find(other)));
-    if (found.some(({ kind }) => kind === 'unknown')) return RETRY;
+    if (found.some(({ kind }) => kind === 'unknown' || kind === 'damaged')) return RETRY;
     const missing = awaits.find((_, i) => found[i]?.kind === 'none');
     if (missing !== undefined) return refuse(422, `awaits ${missing}, which was never accepted`);
     const endless = found.find((other) => other.kind === 'live' && other.spec.form === 'service');
@@ -225,8 +200,8 @@
     const until = this.context.clock.mono() + this.context.patience;
     do {
       const found = await this.#find(id);
-      if (found.kind !== 'live') return this.#view(id, found);
-      const { tasks } = found.spec;
+      if (found.kind !== 'live' && found.kind !== 'damaged') return this.#view(id, found);
+      const tasks = found.kind === 'live' ? found.spec.tasks : 0;
       const at = Math.round(this.context.clock.wall());
       const record: EndedRecord = { stage: 'withdrawn', tasks, done: this.context.counts(id)?.done ?? 0, at };
       const outcome = await this.context.state.commit({
@@ -234,7 +209,7 @@
         apply: [{ remove: jobKey(id) }, { put: endedKey(id), value: record }],
       });
       if (outcome.kind === 'applied') {
-        this.#keep(id, record);
+        this.#reads.keep(id, record);
         return { status: 200, body: encodeJobView({ id, stage: 'withdrawn' }) };
       }
       if (outcome.kind !== 'failed' && outcome.kind !== 'unknown') return RETRY;
--- a/src/controller/deputy.ts
+++ b/src/controller/deputy.ts
@@ -23,11 +23,14 @@
   readonly live: ReadonlySet<string>;
 }
 
+/** Machines whose newest report is remembered. */
+const MOST_SEEN = 5000;
+
 export class Deputy {
   #told: ToldView | null = null;
 
   readonly #live = new Set<string>();
-  readonly #seen = new Map<string, number>();
+  readonly #seen = new Map<string, { readonly session: number; readonly seq: number; readonly at: number }>();
   #provenAt = -Infinity;
   #usedAt = -Infinity;
   #following = false;
@@ -70,7 +73,8 @@
     await this.#first;
     const live = this.#view();
     if (live === null) return null;
-    this.#seen.set(report.machine, this.clock.mono());
+    // A late copy is no sign of life.
+    if (!this.#isNewer(report)) return null;
     const commands: WorkerCommand[] = [];
     for (const { job, task, attempt, stage } of report.tasks) {
       if (stage !== 'exited' && !live.has(job)) commands.push({ op: 'stop', job, task, attempt, graceS: 0 });
@@ -80,14 +84,23 @@
 
   /** Machines that this node has answered lately, in the leader's place. */
   hears(): string[] {
-    this.#forget();
-    return [...this.#seen.keys()];
+    const from = this.clock.mono() - 2 * this.timing.longestReport;
+    return [...this.#seen].flatMap(([machine, { at }]) => (at > from ? [machine] : []));
   }
 
-  #forget(): void {
-    const now = this.clock.mono();
-    for (const [machine, at] of this.#seen)
-      if (now - at > 2 * this.timing.longestReport) this.#seen.delete(machine);
+  /** Remembers the newest report of a machine; false: this one is not newer than it. */
+  #isNewer({ machine, session, seq }: Report): boolean {
+    const known = this.#seen.get(machine);
+    if (known !== undefined && (session < known.session || (session === known.session && seq <= known.seq)))
+      return false;
+    // Latest last, so that what has long been silent is forgotten first.
+    this.#seen.delete(machine);
+    this.#seen.set(machine, { session, seq, at: this.clock.mono() });
+    for (const oldest of this.#seen.keys()) {
+      if (this.#seen.size <= MOST_SEEN) break;
+      this.#seen.delete(oldest);
+    }
+    return true;
   }
 
   #revision = 0;
--- a/src/controller/leading.ts
+++ b/src/controller/leading.ts
@@ -1,5 +1,5 @@
 /** Leading: what the leaders before have committed is loaded, then the jobs are followed. */
-import { readJob } from '../adapters/users.js';
+import { readJob } from '../adapters/reads.js';
 import type { Common } from './common.js';
 import type { LoadedChunk, Recheck } from '../core/effects.js';
 import {
@@ -235,7 +235,10 @@
     const found = await Promise.all(
       ids.map(async (id) => {
         const job = await readJob(this.common.ports.state, id);
-        return [id, job.kind === 'ended' ? job.record : job.kind] as const;
+        return [
+          id,
+          job.kind === 'ended' ? job.record : job.kind === 'damaged' ? 'unknown' : job.kind,
+        ] as const;
       }),
     );
     this.common.owner.push({ kind: 'resolved', found: new Map(found) });
@@ -248,7 +251,11 @@
     for (const id of ids) {
       const job = await readJob(this.common.ports.state, id);
       if (job.kind === 'unknown') whole = false;
-      else jobs.set(id, { live: job.kind === 'live', ended: job.kind === 'ended' ? job.record : null });
+      else
+        jobs.set(id, {
+          live: job.kind === 'live' || job.kind === 'damaged',
+          ended: job.kind === 'ended' ? job.record : null,
+        });
       if (!whole) break;
     }
     for (const key of whole ? keys : []) {
--- a/src/controller/node.ts
+++ b/src/controller/node.ts
@@ -58,7 +58,7 @@
     );
     const standing: Standing = { leader: null, leaderStamp: 0, highestTerm: 0, leadingTerm: 0 };
     this.#common = { settings, timing: times, ports, owner, standing };
-    const { value_kb, txn_ops } = lastingLimits(settings);
+    const { value_kb, txn_ops, rps } = lastingLimits(settings);
     const deputy = new Deputy(
       settings.host_name,
       state,
@@ -126,6 +126,7 @@
     // So many as the state service could answer within a quarter of what one request may take.
     this.admission = new Admission(clock, (settings.cluster.state.rps * times.stateTimeout) / 4000);
     this.users = new Users({
+      rps,
       valueBytes: value_kb * 1024,
       conditions: 4 * txn_ops,
       knowsPipelines: async () => (await this.#upgrade.look()) !== null,
@@ -158,6 +159,8 @@
   }
 
   onPeer(status: PeerStatus): void {
+    // What a life that is over had to say, held back on the way, is no word of the present one.
+    if (!this.#observing.membership.isPresentLife(status)) return;
     this.#peering.onPeer(status);
     this.#observing.onPeer(status);
   }
--- a/src/controller/peering.ts
+++ b/src/controller/peering.ts
@@ -165,9 +165,12 @@
     const stale = 2 * this.common.timing.stateTimeout;
     if (stateAgeMs(this.common) < stale) return true;
     const now = this.common.ports.clock.mono();
+    let heard = this.#heard.size === 0;
     for (const { status, at } of this.#heard.values()) {
       if (now - at < stale / 2 && status.stateAgeMs < stale / 2) return false;
+      heard ||= now - at < stale;
     }
-    return true;
+    // Alone without the state service and all peers, it is this node that is cut off.
+    return heard;
   }
 }
--- a/src/core/aims.ts
+++ b/src/core/aims.ts
@@ -17,6 +17,13 @@
 export const aimsOf = (state: CoreState, spec: JobSpec): ClassAims =>
   state.rules.aims.get(spec.jobClass) ?? NONE;
 
+/** Idle-time work: of the lowest priority, with no aim that it could miss but the bound on waiting. */
+export const isIdleWork = (state: CoreState, spec: JobSpec): boolean =>
+  spec.priority === 3 && spec.deadlineS === null && !state.rules.aims.has(spec.jobClass);
+
+/** Part of the bound on waiting after which room is rented for a job that nothing else hurries. */
+const RENTED_AFTER = 0.5;
+
 /** The strictest start aim of a class, in milliseconds from being ready; undefined: none. */
 export const strictestStart = (state: CoreState, spec: JobSpec): number | undefined =>
   aimsOf(state, spec).starts[0];
@@ -112,7 +119,7 @@
   let wait = starts[0] ?? Infinity;
   if (finishes[0] !== undefined) wait = Math.min(wait, shareOf(state, spec, finishes[0]));
   if (spec.deadlineS !== null) return Math.min(wait, shareOf(state, spec, spec.deadlineS * 1000));
-  return Math.min(wait, expectedRun(state, spec));
+  return Math.min(wait, expectedRun(state, spec), RENTED_AFTER * state.rules.policy.startBound(spec));
 }
 
 /** The latest start, on the steady clock, that a job's aims still allow. */
--- a/src/core/capacity.ts
+++ b/src/core/capacity.ts
@@ -1,13 +1,24 @@
 /** Renting and giving back: how much, of what kind, and when. */
 import TinyQueue from 'tinyqueue';
-import { allowedWait, latestStart } from './aims.js';
+import { allowedWait, isIdleWork, latestStart } from './aims.js';
 import type { Effect } from './effects.js';
 import { expectedEnd } from './fleet.js';
 import { expectedRun, isReady, waitingTasks } from './jobs.js';
 import { ARRIVALS_OVER } from './keeping.js';
 import { log } from './log.js';
 import { waitingJobs } from './queue.js';
-import { allows, avoids, fits, freeRoom, give, roomOf, take, type Need, type Room } from './room.js';
+import {
+  allows,
+  avoids,
+  fits,
+  freeRoom,
+  give,
+  isAtFault,
+  roomOf,
+  take,
+  type Need,
+  type Room,
+} from './room.js';
 import { onlyType, scarceClasses } from './scarce.js';
 import { isExitKept, type CoreState, type Demand, type JobState, type Machine, type Now } from './state.js';
 import type { JobSpec, MachineType } from './types.js';
@@ -73,17 +84,22 @@
   planned.version += 1;
 }
 
+/** Known only from a report that does not carry this leader's token: it may be a late copy of a dead one's. */
+const isRumour = ({ heardAt, whole, rentedAt, knownAt, claims }: Machine): boolean =>
+  heardAt !== null && !whole && rentedAt >= knownAt && claims.size === 0;
+
 function planMachines(state: CoreState, now: Now): Planned[] {
   const planned: Planned[] = [];
   for (const machine of state.machines.values()) {
     const type = state.types.get(machine.type);
     if (type === undefined || machine.leaving !== null || machine.takenAt !== null) continue;
+    if (machine.deafSince !== null || isRumour(machine)) continue;
     const { name, zone, spot } = machine;
     const booted = machine.rentedAt + type.bootS * 1000;
     // One that is late is expected within half a boot time from now.
     const readyAt = machine.heardAt !== null ? now.mono : Math.max(booted, now.mono + type.bootS * 500);
     const ends = [...machine.claims.values()].map((claim) => ({
-      at: expectedEnd(state, claim, now),
+      at: Math.min(expectedEnd(state, claim, now), stoppableBy(state, claim.job, now)),
       room: roomOf(claim.job.spec),
     }));
     ends.sort((a, b) => a.at - b.at);
@@ -101,6 +117,15 @@
   return planned.sort((a, b) => Number(b.busy) - Number(a.busy) || images(b) - images(a));
 }
 
+/**
+ * When room that idle-time work takes can be had for other work, at the cost of a saved checkpoint; the
+ * plan finds that work another place at its end. Dear machines were rented for what could have it at once.
+ */
+function stoppableBy(state: CoreState, { spec }: JobState, now: Now): number {
+  if (spec.checkpointS === 0 || !isIdleWork(state, spec)) return Infinity;
+  return now.mono + spec.saveS * 1000 + 2 * state.rules.timing.longestReport;
+}
+
 function newMachine(type: MachineType, zone: string, spot: boolean, now: Now): Planned {
   const readyAt = now.mono + type.bootS * 1000;
   return {
@@ -183,15 +208,15 @@
     state.demand.set(spec.jobClass, {
       spec,
       peak: known?.peak ?? 0,
-      arrivals: [...(known?.arrivals ?? []), { until, tasks: spec.tasks }],
+      arrivals: [...(known?.arrivals ?? []), { until, job }],
       at: known?.at ?? now.mono,
       arrivedAt: now.mono,
       gap: known === undefined ? usual : usual + (now.mono - known.arrivedAt - usual) / 8,
     });
   }
   for (const demand of state.demand.values()) {
-    demand.arrivals = demand.arrivals.filter(({ until }) => until > now.mono);
-    const current = demand.arrivals.reduce((sum, { tasks }) => sum + tasks, 0);
+    demand.arrivals = demand.arrivals.filter(({ until, job }) => until > now.mono && !isAtFault(job));
+    const current = demand.arrivals.reduce((sum, { job }) => sum + job.spec.tasks, 0);
     demand.peak = Math.max(current, demand.peak * Math.exp((demand.at - now.mono) / memory));
     demand.at = now.mono;
   }
@@ -352,7 +377,9 @@
   const { state, now } = plan;
   const { spec } = job;
   const run = spec.form === 'service' ? Infinity : expectedRun(state, spec);
-  const kinds = kindsFor(state, spec, plan.scarce, choosy, now);
+  // Idle-time work fills what is there; machines are rented for it, but no dear ones.
+  const cheapOnly = spec.spot && isIdleWork(state, spec);
+  const kinds = kindsFor(state, spec, plan.scarce, choosy, now).filter(({ spot }) => spot || !cheapOnly);
   const shape = shapeOf(job) ?? spec.id;
   const known = plan.open.get(shape) ?? { spec, choosy, open: openTo(plan, job, choosy) };
   plan.open.set(shape, known);
@@ -361,7 +388,7 @@
     let among = cheap;
     let best = cheap.first();
     // Dear machines are for what would be too late on the cheap ones.
-    if ((best?.at ?? Infinity) > latest) {
+    if ((best?.at ?? Infinity) > latest && !cheapOnly) {
       const other = dear.first();
       if (other !== null && other.at < (best?.at ?? Infinity)) {
         among = dear;
@@ -478,8 +505,11 @@
     open: new Map(),
   };
   for (const job of queue) {
+    if (isAtFault(job)) continue;
     const choosy = onlyType(state, job.spec) === null;
-    planTasks(plan, job, waitingTasks(job), latestStart(state, job, now), choosy);
+    const idle = isIdleWork(state, job.spec);
+    const again = idle && job.spec.checkpointS > 0 ? job.claims.size : 0;
+    planTasks(plan, job, waitingTasks(job) + again, latestStart(state, job, now), choosy);
   }
   for (const demand of state.demand.values()) keepReady(plan, demand);
   state.inPlan.clear();
--- a/src/core/easy.ts
+++ b/src/core/easy.ts
@@ -3,13 +3,14 @@
  * its shadow time, and later tasks may start now if they end before it or fit the
  * extra room. Room is counted per machine and resource.
  */
-import { isHurried, isPressed, startBy } from './aims.js';
+import { isHurried, isIdleWork, isPressed, losesBy, startBy } from './aims.js';
 import { expectedEnd, isUsable } from './fleet.js';
 import { expectedRun, nextTask, waitingTasks } from './jobs.js';
 import { keepRoom } from './keeping.js';
 import { claimTask } from './ledger.js';
+import { makeRoom } from './preempt.js';
 import { currentQueue } from './queue.js';
-import { allows, avoids, fetchTime, fits, give, roomOf, sum, take } from './room.js';
+import { allows, avoids, fetchTime, fits, give, isAtFault, roomOf, sum, take } from './room.js';
 import { onlyType, scarceTypes } from './scarce.js';
 import { tightest, type Hold, type Shadow, type Site } from './sites.js';
 import type { CoreState, Head, JobState, LiveClaim, Machine, Now, TeamUse } from './state.js';
@@ -31,6 +32,9 @@
  */
 const MOST_WEIGHED = 160;
 
+/** Room is made for so many jobs at a tick; each looks at all that may be stopped. */
+const MOST_CLEARED = 4;
+
 /** Zones open to the next task, given every task of the job that may be on a machine. */
 function zoneRule(state: CoreState, job: JobState, placed: readonly Site[] = []): (zone: string) => boolean {
   const { spec } = job;
@@ -156,8 +160,8 @@
   readonly state: CoreState;
   readonly now: Now;
   readonly largest: number;
-  /** Room held for the head of the queue. */
-  head: Map<Site, Hold>;
+  /** Room held for the head of the queue, and for jobs whose wait nears the bound; none binds its own job. */
+  readonly held: { readonly job: JobState; readonly holds: ReadonlyMap<Site, Hold> }[];
   /** Room held for jobs that only one type can take, against jobs with a choice. */
   readonly scarce: Map<Site, Hold>;
   /** The lowest priority among jobs that room is so held for. */
@@ -184,6 +188,8 @@
   readonly job: JobState;
   readonly run: number;
   readonly choosy: boolean;
+  /** Idle-time work: it holds no dear machine for longer than others do. */
+  readonly idle: boolean;
   readonly startBy: number;
   /** It may use what is kept for hurried tasks. */
   readonly whole: boolean;
@@ -195,8 +201,9 @@
     job,
     run: expectedRun(state, job.spec),
     choosy: yields(pass, job),
+    idle: job.spec.spot && isIdleWork(state, job.spec) && !state.promised.includes(job),
     startBy: startBy(state, job, now),
-    whole: isHurried(state, job.spec) || isPressed(state, job, now),
+    whole: isHurried(state, job.spec) || isPressed(state, job, now) || state.promised.includes(job),
   };
 }
 
@@ -217,8 +224,13 @@
   if (avoids(job, machine.name) || !isUsable(state, machine, now)) return null;
   const fetch = fetchTime(machine, type, spec, now);
   const end = spec.form === 'service' ? Infinity : now.mono + fetch + run;
-  const hold = pass.head.get(site);
-  if (hold !== undefined && !mayBackfill(hold, spec, end)) return null;
+  if (wish.idle && !machine.spot && end > site.busyUntil) return null;
+  for (const { job: owner, holds } of pass.held) {
+    const hold = owner === job ? undefined : holds.get(site);
+    // What gives way within moments, its progress saved, takes no room from who comes before it.
+    if (hold === undefined || (wish.idle && spec.checkpointS > 0 && owner.priority < job.priority)) continue;
+    if (!mayBackfill(hold, spec, end)) return null;
+  }
   const kept = wish.choosy ? pass.scarce.get(site) : undefined;
   if (kept !== undefined && !mayBackfill(kept, spec, end)) return null;
   // Tight fits first, so that large rooms stay whole; a fetch costs its share of the run.
@@ -315,6 +327,12 @@
   }
 }
 
+/** Room held on a machine for others than a job. */
+function holdsOn(pass: Pass, job: JobState, site: Site): Hold[] {
+  const held = pass.held.map(({ job: owner, holds }) => (owner === job ? undefined : holds.get(site)));
+  return [...held, pass.scarce.get(site)].filter((hold) => hold !== undefined);
+}
+
 function occupy(pass: Pass, job: JobState, site: Site, end: number): void {
   const { state } = pass;
   const { spec } = job;
@@ -333,9 +351,7 @@
   } else take(site.free, spec);
   site.busyUntil = Math.max(site.busyUntil, end);
   state.sites.changed(site);
-  for (const hold of [pass.head.get(site), pass.scarce.get(site)]) {
-    if (hold !== undefined && end > hold.shadow) take(hold.extra, spec);
-  }
+  for (const hold of holdsOn(pass, job, site)) if (end > hold.shadow) take(hold.extra, spec);
 }
 
 /** Places what must start together, all of it or nothing. */
@@ -353,9 +369,7 @@
     if (found === null) {
       for (const { site, end } of placed) {
         state.sites.settle(site);
-        for (const hold of [pass.head.get(site), pass.scarce.get(site)]) {
-          if (hold !== undefined && end > hold.shadow) give(hold.extra, job.spec);
-        }
+        for (const hold of holdsOn(pass, job, site)) if (end > hold.shadow) give(hold.extra, job.spec);
       }
       return null;
     }
@@ -365,22 +379,30 @@
   return placed;
 }
 
-function reserveFor(pass: Pass, job: JobState): Reservation {
+/** The machines that a job may reserve, or have cleared for it. */
+function ableFor(pass: Pass, job: JobState): (site: Site) => boolean {
   const { state, now } = pass;
   const { spec } = job;
   const open = zoneRule(state, job);
   // A head that keeps off a machine must not reserve it either: nobody could use it then.
   const off = yields(pass, job) ? pass.scarce : new Map<Site, Hold>();
-  const able = (site: Site): boolean => {
+  return (site) => {
     const { machine } = site;
     return (
       !off.has(site) &&
+      !pass.held.some(({ job: owner, holds }) => owner !== job && holds.has(site)) &&
       isUsable(state, machine, now) &&
       allows(spec, machine.type, machine.zone, machine.spot) &&
       !avoids(job, machine.name) &&
       open(machine.zone)
     );
   };
+}
+
+function reserveFor(pass: Pass, job: JobState): Reservation {
+  const { state, now } = pass;
+  const { spec } = job;
+  const able = ableFor(pass, job);
   const count = together(job);
   if (count === 1) return earliestShadow(state, spec, now, able);
   const sites = [...state.sites.all].filter(able);
@@ -447,6 +469,25 @@
   return held;
 }
 
+/** Whether anything may be done for a job now. */
+function isInTurn(state: CoreState, job: JobState): boolean {
+  // What of a gang is left behind by some of its tasks waits until all have ended.
+  if (job.spec.form === 'gang' && job.claims.size > 0) return false;
+  return withinLimits(state, job, together(job)); // a job of a team at its limit is skipped
+}
+
+/** Whether others may be stopped for a job: it is owed its room, or would miss an aim. */
+function isEntitled(state: CoreState, job: JobState, now: Now): boolean {
+  // Told at the next report, saved, and proven gone by the one after: later would be too late.
+  const making = 4 * state.rules.timing.longestReport;
+  return (
+    state.guaranteed.has(job) ||
+    state.promised.includes(job) ||
+    isPressed(state, job, now) ||
+    losesBy(state, job, making, now)
+  );
+}
+
 /** One pass over the queue: starts what may start, and says what the head waits for. */
 export function place(state: CoreState, now: Now, timesMoved: boolean): void {
   const changed = refreshSites(state, now, timesMoved);
@@ -458,22 +499,33 @@
     state,
     now,
     largest: state.sites.largest(),
-    head: new Map(),
+    held: [],
     scarce: holdScarce(state, scarceJobs, now),
     scarcePriority,
     nowhere: [],
   };
+  for (const job of state.promised) {
+    if (job.waiting === 0 || !isInTurn(state, job)) continue;
+    const holds = reserveFor(pass, job)?.holds;
+    if (holds !== undefined) pass.held.push({ job, holds });
+  }
   let head: Head | null = null;
+  let cleared = 0;
   for (const job of queue) {
-    // What of a gang is left behind by some of its tasks waits until all have ended.
-    if (job.spec.form === 'gang' && job.claims.size > 0) continue;
-    if (!withinLimits(state, job, together(job))) continue; // a job of a team at its limit is skipped
-    if (placeJob(pass, job) || head !== null) continue;
+    if (!isInTurn(state, job)) continue;
+    // One at fault takes what is left over, and holds nothing for itself.
+    if (placeJob(pass, job) || isAtFault(job)) continue;
+    if (timesMoved && cleared < MOST_CLEARED && isEntitled(state, job, now)) {
+      cleared += 1;
+      makeRoom(state, job, together(job) === 1 ? waitingTasks(job) : together(job), ableFor(pass, job), now);
+    }
+    if (head !== null) continue;
     const reservation = reserveFor(pass, job);
-    pass.head = reservation?.holds ?? new Map<Site, Hold>();
+    const holds = reservation?.holds ?? new Map<Site, Hold>();
+    pass.held.push({ job, holds });
     head = {
       job: job.spec.id,
-      machines: [...pass.head.keys()].map(({ machine }) => machine.name),
+      machines: [...holds.keys()].map(({ machine }) => machine.name),
       shadow: reservation?.at ?? null,
       reason: reservation === null ? 'no machine here could ever take it' : 'waits for running tasks to end',
     };
@@ -505,7 +557,7 @@
   const zoned = spec.oneZone || spec.spread;
   let candidates: Candidates | null = null;
   while (waitingTasks(job) > 0) {
-    if (!withinLimits(state, job, 1)) return true;
+    if (!withinLimits(state, job, 1) || (isAtFault(job) && job.claims.size > 0)) return true;
     // Where one task lies decides on the zones of the others.
     if (candidates === null || zoned) candidates = new Candidates(pass, wish, zoneRule(state, job));
     const found = candidates.best();
--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -1,12 +1,14 @@
 /** Machines: what their reports prove, what they are told, and when they are given up. */
 import { losesBy } from './aims.js';
 import type { Effect } from './effects.js';
+import { noteError, noteSuccess } from './faults.js';
+import { isDeafTogether, isSignOfLife, noteHearing } from './hearing.js';
 import { expectedRun } from './jobs.js';
 import { isDurable, recordStrayDone, releaseClaim } from './ledger.js';
 import { log } from './log.js';
 import { isHanging, isUnmet, probe } from './probing.js';
 import { survey } from './survey.js';
-import { isAtFault, noRoom } from './room.js';
+import { noRoom } from './room.js';
 import {
   isDone,
   isExitKept,
@@ -34,6 +36,10 @@
     session: 0,
     seq: 0,
     heardAt: null,
+    metSince: null,
+    answeredAt: null,
+    told: [],
+    deafSince: null,
     relayedAt: null,
     knownAt: now.mono,
     whole: false,
@@ -83,6 +89,7 @@
   return (
     machine.whole &&
     machine.leaving === null &&
+    machine.deafSince === null &&
     machine.takenAt === null &&
     machine.heardAt !== null &&
     now.mono - machine.heardAt < 2 * state.rules.timing.longestReport &&
@@ -122,9 +129,7 @@
   const { job } = claim;
   switch (task.exit) {
     case 'done': {
-      machine.erredJobs.clear();
-      job.errors = 0;
-      job.failedOn.clear();
+      noteSuccess(state, machine, job);
       if (claim.runningSince !== null && job.spec.estimateS > 0) {
         const ratio = (now.mono - claim.runningSince) / (job.spec.estimateS * 1000);
         const seen = state.runRatio.get(job.spec.jobClass) ?? 1;
@@ -133,16 +138,7 @@
       break;
     }
     case 'error':
-      job.failedOn.add(machine.name);
-      job.errors += 1;
-      // A job that fails on several machines is at fault itself: it is retried ever
-      // more slowly, and the machines it fails on are not blamed.
-      if (isAtFault(job)) {
-        const wait = state.rules.timing.longestReport * 2 ** Math.min(8, job.failedOn.size + job.errors - 3);
-        job.retryAt = now.mono + Math.min(wait, 30 * state.rules.timing.workerLease);
-      } else {
-        machine.erredJobs.add(taskKey(job.spec.id, claim.task));
-      }
+      noteError(state, machine, job, now);
       break;
     case 'no_room':
     case 'busy':
@@ -227,6 +223,7 @@
     machine.idleSince = now.mono;
     state.placeDirty = true;
   }
+  if (!direct) noteHearing(state, machine, report, now);
   if (report.session > machine.session && machine.session > 0) dropImages(state, machine);
   machine.address = report.address;
   machine.session = report.session;
@@ -238,12 +235,16 @@
   // It answers us, whoever hears its reports: another controller may be holding it.
   if (direct) machine.relayedAt = now.mono;
   else {
-    machine.heardAt = now.mono;
-    machine.unmet = 0;
+    machine.metSince ??= now.mono;
+    if (isSignOfLife(state, machine, whole, now)) {
+      machine.heardAt = now.mono;
+      machine.unmet = 0;
+    }
     if (whole && !machine.whole) state.placeDirty = true;
     machine.whole = whole;
   }
-  if (report.noticeS !== null && machine.takenAt === null) {
+  // Of an old report, a notice may be old as well.
+  if (report.noticeS !== null && machine.takenAt === null && (whole || direct)) {
     machine.takenAt = now.mono + report.noticeS * 1000;
     state.placeDirty = true;
     log(effects, 'machine will be taken', { machine: machine.name, inS: report.noticeS });
@@ -260,7 +261,6 @@
   machine.reported = report.tasks;
   state.touched.add(machine);
   if (machine.claims.size > 0) machine.idleSince = now.mono;
-  if (machine.erredJobs.size >= 2) leave(machine, 'fails its tasks');
   return true;
 }
 
@@ -315,10 +315,15 @@
   const lead = state.leadership;
   const held = release(state, machine);
   if (held === null || lead === null) return;
+  const commands = commandsFor(state, machine);
+  machine.answeredAt = state.mono;
+  machine.told = commands.flatMap(({ op, job, task, attempt }) =>
+    op === 'start' ? [`${taskKey(job, task)}#${attempt}`] : [],
+  );
   effects.push({
     kind: 'reply',
     reply: held.reply,
-    body: { kind: 'commands', token: lead.term, commands: commandsFor(state, machine) },
+    body: { kind: 'commands', token: lead.term, commands },
   });
 }
 
@@ -482,6 +487,7 @@
 export function judgeMachines(state: CoreState, now: Now, effects: Effect[]): void {
   const { timing } = state.rules;
   const { awake, apart, deaf, mostSilent, mostUnheard } = survey(state, now);
+  const deafTogether = isDeafTogether(state);
   const usual = mostSilent ? timing.silence : timing.shortSilence;
   // Many that a new leader never heard are one event, not many: the leader before, blind but within
   // its authority, may hold them alive. It gave back 200 of them with 773 tasks. One without tasks
@@ -528,6 +534,10 @@
       if (now.mono > machine.takenAt && silent > 1.5 * timing.longestReport) leave(machine, 'taken');
       else drain(state, machine, machine.takenAt, now);
     }
+    if (machine.deafSince !== null && now.mono - machine.deafSince > timing.silence && !deafTogether) {
+      leave(machine, 'deaf');
+      continue;
+    }
     const hangs = isHanging(state, machine, now);
     const patience = apart.has(machine.zone)
       ? patienceApart(machine, silent)
--- a/src/core/jobs.ts
+++ b/src/core/jobs.ts
@@ -3,7 +3,7 @@
  * counts that placing and planning go by are kept with each change, so that neither has to
  * walk over all jobs or all machines for them.
  */
-import { give, noRoom, take } from './room.js';
+import { give, isAtFault, noRoom, take } from './room.js';
 import { isDone, taskKey, type CoreState, type JobState, type LiveClaim, type Machine } from './state.js';
 import type { JobSpec } from './types.js';
 
@@ -32,7 +32,8 @@
 /** Brings the counts up to date with a job of which something has changed. */
 export function recount(state: CoreState, job: JobState): void {
   const waiting = waitingTasks(job);
-  const present = job.claims.size + waiting;
+  // Nobody keeps room, or counts on it, for one that was submitted with a mistake.
+  const present = job.claims.size + (isAtFault(job) ? 0 : waiting);
   const { jobClass } = job.spec;
   if (present !== job.present) {
     state.present.set(jobClass, (state.present.get(jobClass) ?? 0) + present - job.present);
@@ -68,6 +69,7 @@
   job.claims.set(task, claim);
   machine.claims.set(taskKey(spec.id, task), claim);
   give(machine.used, spec);
+  state.out.get(spec.priority)?.add(claim);
   state.touched.add(machine);
   const use = state.use.get(spec.team) ?? { cpus: 0, gpus: 0, tasks: 0 };
   use.cpus += spec.cpus;
@@ -83,6 +85,8 @@
   const { spec } = job;
   const machine = state.machines.get(claim.machine);
   job.claims.delete(task);
+  state.out.get(spec.priority)?.delete(claim);
+  state.halting.delete(claim);
   if (claim.stage === 'running') job.running -= 1;
   if (machine?.claims.delete(taskKey(spec.id, task)) === true) {
     take(machine.used, spec);
--- a/src/core/ledger.ts
+++ b/src/core/ledger.ts
@@ -37,6 +37,7 @@
     running: 0,
     rank: null,
     exitsSince: 0,
+    servedAt: -Infinity,
     queued: false,
     counted: false,
     done: new Uint8Array(Math.ceil(job.value.tasks / 8)),
@@ -47,7 +48,7 @@
     cursor: 0,
     chunks: new Map(),
     older: new Map(),
-    errors: 0,
+    tries: 0,
     retryAt: 0,
     failedOn: new Set(),
   };
@@ -109,6 +110,7 @@
     expectedEnd,
     unwanted: false,
   };
+  job.servedAt = now.mono;
   enterClaim(state, claim, machine);
 }
 
@@ -286,6 +288,7 @@
       expectedEnd: now.mono - age + state.rules.policy.expectedRun(job.spec),
       unwanted: false,
     };
+    job.servedAt = now.mono;
     enterClaim(state, claim, machineOf(kept.machine));
   }
 }
--- /dev/null
+++ b/src/core/preempt.ts
@@ -0,0 +1,144 @@
+/**
+ * Preemption: one more way for a job to get its room in time. Work of strictly lower priority is stopped,
+ * or what another team runs above its guarantee; what loses least first, no more than is needed, and its
+ * room is free on proof alone, as ever. Nothing is stopped that would end about as soon, and what was
+ * stopped once gains a checkpoint's progress before it is stopped again.
+ */
+import { hasDeadline } from './aims.js';
+import { expectedEnd } from './fleet.js';
+import { fits, give, roomOf, sum, take } from './room.js';
+import type { Site } from './sites.js';
+import type { CoreState, JobState, LiveClaim, Machine, Now } from './state.js';
+import type { Need } from './types.js';
+
+const EPSILON = 1e-6;
+
+/** What a task loses by being stopped now, in milliseconds of its run. */
+export function lossOf({ job, runningSince, stage }: LiveClaim, now: Now): number {
+  const { checkpointS, saveS, form } = job.spec;
+  if (stage !== 'running' || runningSince === null) return 0;
+  const ran = now.mono - runningSince;
+  // What a job has begun with is the last of it to go; a replica goes on elsewhere as it was.
+  if (job.claims.size === 1) return ran + saveS * 1000;
+  return checkpointS > 0 ? saveS * 1000 : form === 'service' ? 0 : ran;
+}
+
+/** Whether stopping a task now is of any use, and fair to it. */
+function isStoppable(state: CoreState, claim: LiveClaim, now: Now): boolean {
+  const { job, runningSince, unwanted, attempt } = claim;
+  const { form, checkpointS, saveS } = job.spec;
+  if (unwanted || job.over !== null || form === 'gang') return false;
+  const { longestReport } = state.rules.timing;
+  if (expectedEnd(state, claim, now) <= now.mono + saveS * 1000 + 2 * longestReport) return false;
+  // What begins again and again gets nowhere.
+  const gained = runningSince === null ? 0 : now.mono - runningSince;
+  return attempt === 1 || gained > checkpointS * 1000 + longestReport;
+}
+
+/** Whether a task counts on no aim of its own: idle-time work, or what has saved nearly all it would lose. */
+function isSpare(state: CoreState, { job }: LiveClaim): boolean {
+  return job.spec.checkpointS > 0 || (!hasDeadline(job) && !state.rules.aims.has(job.spec.jobClass));
+}
+
+/** Tasks that may be stopped for a job, by machine. */
+function victimsFor(state: CoreState, job: JobState, now: Now): Map<Machine, LiveClaim[]> {
+  const guaranteed = state.guaranteed.has(job);
+  // To save one aim at the cost of another is no gain; what is owed its room has no other way.
+  const owed = guaranteed || state.promised.includes(job);
+  const over = new Map<string, number>();
+  const isOver = (team: string): boolean => {
+    const above = (state.use.get(team)?.cpus ?? 0) - (state.rules.teams.get(team)?.cpus ?? 0);
+    if (!over.has(team)) over.set(team, above);
+    return (over.get(team) ?? 0) > EPSILON;
+  };
+  const found = new Map<Machine, LiveClaim[]>();
+  for (const [priority, claims] of state.out) {
+    if (!guaranteed && priority <= job.priority) continue;
+    for (const claim of claims) {
+      const lower = claim.job.priority > job.priority;
+      const borrowed = guaranteed && claim.job.spec.team !== job.spec.team && isOver(claim.job.spec.team);
+      if (!(lower || borrowed) || state.guaranteed.has(claim.job) || !isStoppable(state, claim, now))
+        continue;
+      if (!owed && !isSpare(state, claim)) continue;
+      const machine = state.machines.get(claim.machine);
+      if (machine === undefined) continue;
+      const known = found.get(machine);
+      if (known === undefined) found.set(machine, [claim]);
+      else known.push(claim);
+    }
+  }
+  return found;
+}
+
+interface Way {
+  readonly victims: readonly LiveClaim[];
+  readonly loss: number;
+}
+
+/** Lower priority first, then what loses least; of those the one whose job came last, so that the first ends. */
+const byLoss = (a: LiveClaim, b: LiveClaim, now: Now): number =>
+  b.job.priority - a.job.priority || lossOf(a, now) - lossOf(b, now) || b.job.stamp - a.job.stamp;
+
+/** The ways to make room for one task after another on a machine, the ones under way already first. */
+function waysOn(site: Site, victims: LiveClaim[], need: Need, count: number, now: Now): Way[] {
+  const room = sum(site.free, site.kept);
+  for (const claim of site.machine.claims.values()) if (claim.unwanted) give(room, claim.job.spec);
+  const left = [...victims].sort((a, b) => byLoss(a, b, now));
+  const ways: Way[] = [];
+  while (ways.length < count) {
+    const chosen: LiveClaim[] = [];
+    while (!fits(need, room)) {
+      const next = left.shift();
+      if (next === undefined) return ways;
+      give(room, next.job.spec);
+      chosen.push(next);
+    }
+    // What was taken before a larger one turned up is not needed.
+    for (const claim of [...chosen].reverse()) {
+      const without = roomOf(room);
+      take(without, claim.job.spec);
+      if (!fits(need, without)) continue;
+      take(room, claim.job.spec);
+      chosen.splice(chosen.indexOf(claim), 1);
+    }
+    take(room, need);
+    ways.push({ victims: chosen, loss: chosen.reduce((total, claim) => total + 1 + lossOf(claim, now), 0) });
+  }
+  return ways;
+}
+
+const lastOf = ({ victims }: Way): number => Math.max(0, ...victims.map(({ job }) => job.stamp));
+
+/** Stops what has to go for so many tasks of a job to start; how many tasks it stops. */
+export function makeRoom(
+  state: CoreState,
+  job: JobState,
+  count: number,
+  able: (site: Site) => boolean,
+  now: Now,
+): number {
+  const victims = victimsFor(state, job, now);
+  if (victims.size === 0) return 0;
+  const machines = new Set(victims.keys());
+  // Room on its way to being free is made already.
+  for (const claim of state.halting) {
+    const machine = state.machines.get(claim.machine);
+    if (machine !== undefined) machines.add(machine);
+  }
+  const ways: Way[] = [];
+  for (const machine of machines) {
+    const site = state.sites.of(machine);
+    if (site === undefined || !able(site) || !fits(job.spec, site.type)) continue;
+    ways.push(...waysOn(site, victims.get(machine) ?? [], job.spec, count, now));
+  }
+  ways.sort((a, b) => a.loss - b.loss || lastOf(b) - lastOf(a));
+  let stopped = 0;
+  for (const way of ways.slice(0, count)) {
+    for (const claim of way.victims) {
+      claim.unwanted = true;
+      state.halting.add(claim);
+      stopped += 1;
+    }
+  }
+  return stopped;
+}
--- /dev/null
+++ b/src/core/promises.ts
@@ -0,0 +1,64 @@
+/**
+ * Promises beyond the head's reservation. The paper guards the first job of the queue alone and proves
+ * that the second may be passed without bound; where priorities order the queue, so may every job of low
+ * priority, and a large one by small ones. So a job that has not been served for half of a bound gets a
+ * reservation of its own, whatever its priority or size, and all others must pass the paper's two tests
+ * against it too. A team's guarantee is the other promise: jobs that fit into it wait for no other team.
+ */
+import { isReady } from './jobs.js';
+import { isAtFault } from './room.js';
+import type { CoreState, JobState, Now } from './state.js';
+
+/** So many reservations at a time beside the head's; more would leave little for the order of the queue. */
+const MOST_PROMISED = 3;
+/** Share of the bound after which a job that has waited so long is promised its room. */
+const PROMISED_AFTER = 0.5;
+const EPSILON = 1e-6;
+
+/** Milliseconds since a job was ready, or since a task of it was last put on a machine. */
+export const unservedFor = (job: JobState, now: Now): number =>
+  Math.min(now.wall - job.readyAt, now.mono - job.servedAt);
+
+/**
+ * Works out whose wait nears the bound, longest first. Of those of a class that have begun, only the one
+ * that came first is promised more: six arrays served by turns ended all at once, and too late.
+ */
+export function choosePromised(state: CoreState, now: Now): void {
+  const { startBound } = state.rules.policy;
+  const due: { readonly job: JobState; readonly waited: number }[] = [];
+  const first = new Map<string, JobState>();
+  for (const job of state.waiting) {
+    if (isAtFault(job)) continue;
+    const { jobClass } = job.spec;
+    const waited = unservedFor(job, now);
+    if (job.servedAt > -Infinity && job.stamp < (first.get(jobClass)?.stamp ?? Infinity))
+      first.set(jobClass, job);
+    if (waited > PROMISED_AFTER * startBound(job.spec)) due.push({ job, waited });
+  }
+  due.sort((a, b) => b.waited - a.waited);
+  state.promised = due
+    .filter(({ job }) => job.servedAt === -Infinity || first.get(job.spec.jobClass) === job)
+    .slice(0, MOST_PROMISED)
+    .map(({ job }) => job);
+}
+
+/**
+ * Works out which jobs fit into their team's guarantee together with the team's earlier ones that are not
+ * finished. Only teams that have a guarantee cost anything.
+ */
+export function chooseGuaranteed(state: CoreState): void {
+  const left = new Map<string, { cpus: number; gpus: number }>();
+  for (const [name, { cpus, gpus }] of state.rules.teams)
+    if (cpus > 0 || gpus > 0) left.set(name, { cpus, gpus });
+  state.guaranteed.clear();
+  if (left.size === 0) return;
+  for (const job of state.jobs.values()) {
+    const { spec, over, doneCount } = job;
+    const room = left.get(spec.team);
+    if (room === undefined || over !== null || !isReady(job)) continue;
+    const tasks = spec.tasks - doneCount;
+    room.cpus -= tasks * spec.cpus;
+    room.gpus -= tasks * spec.gpus;
+    if (room.cpus > -EPSILON && room.gpus > -EPSILON && !isAtFault(job)) state.guaranteed.add(job);
+  }
+}
--- a/src/core/queue.ts
+++ b/src/core/queue.ts
@@ -8,13 +8,14 @@
   const { lost } = aimsLost(state, job, now);
   const run = expectedRun(state, job.spec);
   const slack = timeLeft(job, 1, now) - run;
+  const rank = state.guaranteed.has(job) ? 0 : 1;
   // Pressed: it has to start within a run time from now to be in time.
-  if (lost === 0 && slack < run) return { job, group: 0, key: waitingTasks(job) * run * job.spec.cpus };
-  return { job, group: 1 + lost, key: job.stamp };
+  if (lost === 0 && slack < run) return { job, rank, group: 0, key: waitingTasks(job) * run * job.spec.cpus };
+  return { job, rank, group: 1 + lost, key: job.stamp };
 }
 
 const before = (a: Standing, b: Standing): number =>
-  a.job.priority - b.job.priority || a.group - b.group || a.key - b.key;
+  a.rank - b.rank || a.job.priority - b.job.priority || a.group - b.group || a.key - b.key;
 
 /**
  * Works out the order anew: higher priority first, then order of arrival (the order of the
--- a/src/core/room.ts
+++ b/src/core/room.ts
@@ -57,15 +57,16 @@
   return left;
 }
 
-/** A job that fails on so many machines is at fault itself, and may be tried anywhere. */
+/** A job that fails on so many machines, and completes nowhere, is at fault itself. */
 const FAULTY_ANYWHERE = 3;
 
-export const isAtFault = (job: JobState): boolean => job.failedOn.size >= FAULTY_ANYWHERE;
+/** Whether a job was submitted with a mistake, as far as is known; it may be tried anywhere. */
+export const isAtFault = (job: JobState): boolean =>
+  job.doneCount === 0 && job.failedOn.size >= FAULTY_ANYWHERE;
 
 /**
- * Whether a job has failed on a machine that may be to blame for it. Placing and
- * planning must agree on this: a machine that the plan counts on and the placing
- * avoids would keep the job waiting for ever.
+ * Whether a job has failed on a machine that may be to blame for it. Placing and planning must agree on
+ * this: a machine that the plan counts on and the placing avoids would keep the job waiting for ever.
  */
 export const avoids = (job: JobState, machine: string): boolean =>
   job.failedOn.has(machine) && !isAtFault(job);
--- a/src/core/state.ts
+++ b/src/core/state.ts
@@ -75,6 +75,8 @@
   readonly placingWait: number;
   /** How long an idle machine of this type is kept, in milliseconds. */
   readonly idleHold: (type: MachineType, spot: boolean) => number;
+  /** A ready job is to be served at least so often, in milliseconds, whatever its priority or size. */
+  readonly startBound: (job: JobSpec) => number;
   /** Share of a job's deadline slack that it may spend waiting for room. */
   readonly deadlineSlack: (job: JobSpec) => number;
   /** Room kept ready for a class that cannot wait for a boot, over the most it used of late. */
@@ -147,6 +149,8 @@
   rank: Rank | null;
   /** Steady time from which only exits have waited to be written. */
   exitsSince: number;
+  /** Steady time at which a task of it was last put on a machine; -Infinity: never. */
+  servedAt: number;
   /** It stands in the order of the queue. */
   queued: boolean;
   /** Its arrival, or becoming ready, has been counted in the demand. */
@@ -161,15 +165,18 @@
   readonly chunks: Map<number, Chunk>;
   /** By key; each goes once today's chunks hold all that is known of its tasks. */
   readonly older: Map<string, OlderChunk>;
-  /** Errors in a row on machines that complete other work, and when to try again. */
-  errors: number;
+  /** Tries in a row since it was found to be at fault, and when to try again. */
+  tries: number;
   retryAt: number;
+  /** Machines on which it has failed since a task of it last completed. */
   readonly failedOn: Set<string>;
 }
 
 /** Where a job stands within its priority: by group, then by `key`. */
 export interface Standing {
   readonly job: JobState;
+  /** 0: within its team's guarantee. */
+  readonly rank: number;
   readonly group: number;
   readonly key: number;
 }
@@ -198,6 +205,13 @@
   seq: number;
   /** Steady time of its last report; null before the first that this leader saw. */
   heardAt: number | null;
+  /** Steady time of the first report that this leader saw, and of its latest answer to one. */
+  metSince: number | null;
+  answeredAt: number | null;
+  /** Starts in that answer, as `job/task#attempt`; the next report shows them if it came. */
+  told: readonly string[];
+  /** Steady time since which there is reason to think that it does not hear its answers; null: none. */
+  deafSince: number | null;
   /** Steady time at which a deputy last told of it. */
   relayedAt: number | null;
   /** Its silence counts from here when it was never heard. */
@@ -217,7 +231,7 @@
   /** Images it is believed to hold, most recently used last. */
   readonly images: Map<string, number>;
   idleSince: number;
-  /** Errors of distinct jobs since the last completion. */
+  /** Jobs that have failed on it, and not elsewhere, since the last completion. */
   readonly erredJobs: Set<string>;
   /** Why it gets no more work and goes back; null while it is of use. */
   leaving: string | null;
@@ -299,6 +313,12 @@
   readonly joined: JobState[];
   /** The order in which waiting jobs are served, as of the latest tick, with those that joined since. */
   queue: Standing[];
+  /** Jobs whose wait nears the bound, and those within their team's guarantee, as of the latest tick. */
+  promised: readonly JobState[];
+  readonly guaranteed: Set<JobState>;
+  /** Tasks out, by the priority that their jobs were submitted with; those being stopped to make room. */
+  readonly out: ReadonlyMap<Priority, Set<LiveClaim>>;
+  readonly halting: Set<LiveClaim>;
   /** Tasks out or waiting, by class. */
   readonly present: Map<string, number>;
   /** What every team's tasks use that are not proven gone. */
@@ -370,7 +390,7 @@
   readonly spec: JobSpec;
   peak: number;
   /** Tasks that came of late, and when they would have ended had they started at once. */
-  arrivals: readonly { readonly until: number; readonly tasks: number }[];
+  arrivals: readonly { readonly until: number; readonly job: JobState }[];
   at: number;
   /** Steady time of its latest arrival, and the usual gap between two, in milliseconds. */
   arrivedAt: number;
@@ -398,6 +418,8 @@
 
 export const taskKey = (job: string, task: number): string => `${job}/${task}`;
 
+const PRIORITIES: readonly Priority[] = [0, 1, 2, 3];
+
 export function createState(node: string, rules: Rules): CoreState {
   return {
     node,
@@ -416,6 +438,10 @@
     waiting: new Set(),
     joined: [],
     queue: [],
+    promised: [],
+    guaranteed: new Set(),
+    out: new Map(PRIORITIES.map((priority) => [priority, new Set<LiveClaim>()])),
+    halting: new Set(),
     present: new Map(),
     use: new Map(),
     holders: new Map(),
@@ -463,6 +489,10 @@
   state.waiting.clear();
   state.joined.length = 0;
   state.queue = [];
+  state.promised = [];
+  state.guaranteed.clear();
+  for (const claims of state.out.values()) claims.clear();
+  state.halting.clear();
   state.present.clear();
   state.use.clear();
   state.holders.clear();
--- a/src/core/step.ts
+++ b/src/core/step.ts
@@ -18,6 +18,7 @@
 import { log } from './log.js';
 import { nextQuestion, settleQuestion } from './pipelines.js';
 import { settleProbe } from './probing.js';
+import { chooseGuaranteed, choosePromised } from './promises.js';
 import { sortQueue } from './queue.js';
 import { forgetLeadership, mayAct, type CoreState, type LiveClaim, type Machine, type Now } from './state.js';
 
@@ -272,7 +273,11 @@
   const planning = placing && now.mono >= lead.since + state.rules.timing.longestReport;
   if (placing && (state.placeDirty || ticked)) {
     state.placeDirty = false;
-    if (ticked) sortQueue(state, now);
+    if (ticked) {
+      chooseGuaranteed(state);
+      choosePromised(state, now);
+      sortQueue(state, now);
+    }
     place(state, now, ticked);
   }
   const commit = nextCommit(state, now);
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -31,6 +31,9 @@
 /** A process that fired so many timers in time has caught up. */
 const IN_TIME = 3;
 
+/** Lives of a peer that are remembered as over. */
+const MOST_LIVES = 50;
+
 export class Membership {
   readonly #peers = new Map<string, Peer>();
   readonly #levels = new Map<string, Standing>();
@@ -68,15 +71,24 @@
         linkAt: -Infinity,
         lostAt: null,
         refusals: 0,
+        formerLives: [],
       });
       this.#levels.set(node, { node, level: 'trusted', since: -Infinity, evidence: 'not heard yet' });
     }
   }
 
+  /** Whether a word is not one of a life that another has followed: such may have been held back. */
+  isPresentLife({ node, incarnation }: Pick<View, 'node' | 'incarnation'>): boolean {
+    return this.#peers.get(node)?.formerLives.includes(incarnation) !== true;
+  }
+
   /** A peer's own word refutes at once what was suspected of it. */
   heard(view: View, now: number): void {
     const peer = this.#peers.get(view.node);
-    if (peer === undefined) return;
+    if (peer === undefined || !this.isPresentLife(view)) return;
+    const former = peer.view?.incarnation;
+    if (former !== undefined && former !== view.incarnation) peer.formerLives.push(former);
+    if (peer.formerLives.length > MOST_LIVES) peer.formerLives.shift();
     const gap = peer.heardAt === null || now - peer.heardAt > 2 * this.timing.longestReport;
     if (gap || peer.view?.incarnation !== view.incarnation) {
       peer.since = now;
--- a/src/membership/table.ts
+++ b/src/membership/table.ts
@@ -19,6 +19,8 @@
   /** When it was last lost or refused after being up or heard, and refusals since. */
   lostAt: number | null;
   refusals: number;
+  /** Incarnations that another has followed, latest last. */
+  readonly formerLives: string[];
 }
 
 /** What is known of this node itself. */
--- a/src/policy.ts
+++ b/src/policy.ts
@@ -27,6 +27,7 @@
   overrun_allowance_s: { scope: 'job', least: 0.1, most: DAY_S, source: 'lease_s' },
   placing_wait_s: { scope: 'cluster', least: 0, most: 600, source: '1.25 * report_s' },
   idle_hold_s: { scope: 'machine', least: 0, most: DAY_S, source: 'spot ? 0.5 * boot_s : 0.3 * boot_s' },
+  start_bound_s: { scope: 'job', least: 1, most: DAY_S, source: '240.0' },
   deadline_slack: { scope: 'job', least: 0, most: 1, source: '0.5' },
   headroom: { scope: 'job', least: 0, most: 10, source: '1.3' },
   headroom_memory_s: { scope: 'cluster', least: 1, most: DAY_S, source: '20.0 * lease_s' },
@@ -283,12 +284,14 @@
 
   const multiplier = perJob('estimate_multiplier');
   const allowance = perJob('overrun_allowance_s');
+  const bound = perJob('start_bound_s');
   const hold = perType('idle_hold_s');
   return {
     expectedRun: (job) => job.estimateS * 1000 * multiplier(job),
     overrunAllowance: (job) => allowance(job) * 1000,
     placingWait: figure('placing_wait_s', {}) * 1000,
     idleHold: (type, spot) => hold(type, spot) * 1000,
+    startBound: (job) => bound(job) * 1000,
     deadlineSlack: perJob('deadline_slack'),
     headroom: perJob('headroom'),
     headroomMemory: figure('headroom_memory_s', {}) * 1000,
--- /dev/null
+++ b/test/hearing.test.ts
@@ -0,0 +1,127 @@
+/** Machines that do not hear what they are told, and copies of reports that come late. */
+import { expect, test } from 'vitest';
+import { isUsable } from '../src/core/fleet.js';
+import type { Effect } from '../src/core/effects.js';
+import { CoreBench, job, report, task, TERM } from './standins/core.js';
+
+const returned = (effects: readonly Effect[]): string[] =>
+  effects.flatMap((effect) => (effect.kind === 'return' ? effect.machines : []));
+
+/** A worker without an answer gives it up after 4 s, and tries another controller a second later. */
+const UNANSWERED = 5000;
+
+function usable(bench: CoreBench, name: string): boolean {
+  const machine = bench.state.machines.get(name);
+  return machine !== undefined && isUsable(bench.state, machine, bench.time());
+}
+
+/** Others report in their rhythm, so that only one machine is in question. */
+function others(bench: CoreBench, seq: number): void {
+  for (const name of ['n', 'o', 'p', 'q']) bench.hear(report(name, seq));
+}
+
+/** Machine m reports, and hears nothing of what it is told. */
+function deaf(): { bench: CoreBench; seq: number } {
+  const bench = new CoreBench();
+  bench.hear(report('m', 1));
+  bench.now += 1000;
+  bench.hear(report('m', 2));
+  bench.add(job('req-1', 1, 8, 60));
+  expect(CoreBench.starts(bench.hear(report('m', 3)))).toEqual(['req-1/0#1']);
+  others(bench, 1);
+  return { bench, seq: 3 };
+}
+
+// It looked alive for ever: each session it got a machine's worth of tasks, and lost them with its lease.
+test('a machine that does not show what it was told to start gets nothing new, and is used once it hears', async () => {
+  const { bench, seq } = deaf();
+  const claim = [...(bench.state.machines.get('m')?.claims.values() ?? [])][0];
+  bench.now += UNANSWERED;
+  bench.hear(report('m', seq + 1));
+  expect(usable(bench, 'm')).toBe(false);
+  // Doubt frees nothing: what it was told may still be carried out, as far as is known here.
+  expect(bench.state.machines.get('m')?.claims.size).toBe(1);
+  const started = task(`req-1/${claim?.task}`, claim?.attempt ?? 0, 'running');
+  bench.now += 1000;
+  bench.hear(report('m', seq + 2, [started]));
+  expect(usable(bench, 'm')).toBe(true);
+  await bench.keep('deaf-recovers');
+});
+
+test('a machine that stays deaf goes back, and its tasks run elsewhere once the cloud confirms it', async () => {
+  const { bench, seq } = deaf();
+  const { silence } = bench.state.rules.timing;
+  const gone: string[] = [];
+  for (let at = 0; at < 2 * silence; at += UNANSWERED) {
+    bench.now += UNANSWERED;
+    bench.hear(report('m', seq + 1 + at / UNANSWERED));
+    others(bench, 10 + at);
+    gone.push(...returned(bench.do({ kind: 'tick' })));
+  }
+  expect(gone).toContain('m');
+  expect(bench.state.machines.get('m')?.claims.size).toBe(1);
+  bench.do({ kind: 'returned', machines: ['m'], ok: true });
+  expect([...(bench.state.jobs.get('req-1')?.claims.values() ?? [])].every((c) => c.machine !== 'm')).toBe(
+    true,
+  );
+  await bench.keep('deaf-stays');
+});
+
+test('a session that moves on although it was answered is a reason for doubt', () => {
+  const bench = new CoreBench();
+  bench.hear(report('m', 1));
+  bench.now += UNANSWERED;
+  bench.hear(report('m', 2));
+  bench.now += UNANSWERED;
+  bench.hear(report('m', 3, [], { session: 2 }));
+  expect(usable(bench, 'm')).toBe(false);
+  bench.now += 1000;
+  bench.hear(report('m', 4, [], { session: 2 }));
+  expect(usable(bench, 'm')).toBe(true);
+});
+
+// Where this node's own words get lost, all machines seem deaf: none of them is to blame.
+test('many that do not hear are one event: none is given back for it', () => {
+  const bench = new CoreBench();
+  const names = ['m', 'n', 'o', 'p'];
+  let gone: string[] = [];
+  for (let seq = 1; seq < 5; seq += 1) {
+    for (const name of names) bench.hear(report(name, seq, [], { session: seq }));
+    gone = gone.concat(returned(bench.do({ kind: 'tick' })));
+    bench.now += UNANSWERED;
+  }
+  expect(names.some((name) => usable(bench, name))).toBe(false);
+  expect(gone).toEqual([]);
+});
+
+test('late copies: an older report is no sign of life, no notice, and ends nothing', () => {
+  const { bench, seq } = deaf();
+  const [claim] = bench.state.machines.get('m')?.claims.values() ?? [];
+  bench.now += 1000;
+  bench.hear(report('m', seq + 1, [task(`req-1/${claim?.task}`, 1, 'running')]));
+  const heardAt = bench.state.machines.get('m')?.heardAt;
+  bench.now += 20_000;
+  const effects = bench.hear(report('m', seq, [], { noticeS: 5 }));
+  expect(effects.some((effect) => effect.kind === 'reply' && effect.body.kind === 'unable')).toBe(true);
+  expect(bench.state.machines.get('m')).toMatchObject({ heardAt, takenAt: null });
+  expect(bench.state.machines.get('m')?.claims.size).toBe(1);
+});
+
+// Copies of a dead machine's reports come in order: to a leader that never heard it they look like its own.
+test('late copies after a takeover: a machine that never shows our token is not kept alive by them', async () => {
+  const bench = new CoreBench();
+  const { workerLease, silence } = bench.state.rules.timing;
+  others(bench, 1);
+  const gone: string[] = [];
+  for (let seq = 1; seq * 1000 < workerLease + 2 * silence; seq += 1) {
+    // Sent to the leader before, with its token, and a notice that was kept long ago.
+    bench.hear(report('m', seq, [], { token: TERM - 1, noticeS: 300 }));
+    others(bench, seq + 1);
+    expect(usable(bench, 'm')).toBe(false);
+    expect(bench.state.machines.get('m')?.takenAt).toBe(null);
+    gone.push(...returned(bench.do({ kind: 'tick' })));
+    bench.now += 1000;
+  }
+  expect(gone).toContain('m');
+  await bench.keep('takeover-copies');
+});
--- /dev/null
+++ b/test/promises.test.ts
@@ -0,0 +1,184 @@
+/** Promises beyond the head's reservation: bounded waiting, guarantees, and the preemption that keeps them. */
+import { expect, test } from 'vitest';
+import type { Effect } from '../src/core/effects.js';
+import type { JobSpec, ReportedTask } from '../src/core/types.js';
+import { CoreBench, job, report, task } from './standins/core.js';
+
+const stops = (effects: readonly Effect[]): string[] =>
+  effects.flatMap((effect) =>
+    effect.kind === 'reply' && effect.body.kind === 'commands'
+      ? effect.body.commands.flatMap((command) =>
+          command.op === 'stop' ? [`${command.job}/${command.task} grace ${command.graceS}`] : [],
+        )
+      : [],
+  );
+const guest = (id: string, tasks: number, cpus: number, more: Partial<JobSpec> = {}): JobSpec =>
+  job(id, tasks, cpus, 300, { jobClass: 'idle', priority: 3, checkpointS: 30, saveS: 3, ...more });
+
+/** One machine of 8 cpus, whose reports are answered, and a tick before each. */
+class Shift {
+  readonly bench: CoreBench;
+  #seq = 0;
+  constructor(cpusMax = 0) {
+    this.bench = new CoreBench(cpusMax);
+    this.hear([]);
+  }
+  add(spec: JobSpec): void {
+    this.bench.add({ ...spec, submittedAt: this.bench.now });
+  }
+  hear(tasks: readonly ReportedTask[], afterMs = 0): Effect[] {
+    for (let left = afterMs; left > 0; left -= 1000) {
+      this.bench.now += Math.min(1000, left);
+      this.bench.hear(report('m', ++this.#seq, tasks));
+      this.bench.do({ kind: 'tick' });
+    }
+    return this.bench.hear(report('m', ++this.#seq, tasks));
+  }
+}
+
+// Nothing in the service stopped a task to make room: rush work waited 300 s behind idle-time work.
+test('idle-time work gives way to what would miss an aim, its progress saved, and goes on in its arrival place', async () => {
+  const shift = new Shift();
+  shift.add(guest('req-1', 2, 4));
+  const running = [task('req-1/0', 1, 'running'), task('req-1/1', 1, 'running')];
+  shift.hear([], 1000);
+  shift.hear(running, 40_000);
+  shift.add(job('req-2', 1, 4, 20, { deadlineS: 30 }));
+  shift.add(guest('req-3', 1, 4));
+  const told = shift.hear(running, 1000);
+  // One is enough, with as long as it needs to save; its room is not free before it is gone.
+  expect(stops(told)).toHaveLength(1);
+  expect(stops(told)[0]).toMatch(/^req-1\/[01] grace 3$/);
+  expect(CoreBench.starts(told)).toEqual([]);
+  const [stopped, other] = stops(told)[0]?.startsWith('req-1/0') === true ? [0, 1] : [1, 0];
+  const left = task(`req-1/${other}`, 1, 'running');
+  expect(CoreBench.starts(shift.hear([left, task(`req-1/${stopped}`, 1, 'saving')], 1000))).toEqual([]);
+  expect(CoreBench.starts(shift.hear([left, task(`req-1/${stopped}`, 1, 'exited', 'stopped')]))).toEqual([
+    'req-2/0#1',
+  ]);
+  shift.hear([left, task('req-2/0', 1, 'running')], 1000);
+  // What was stopped goes on before what came after it.
+  const after = shift.hear([left, task('req-2/0', 1, 'exited', 'done')]);
+  expect(CoreBench.starts(after)).toEqual([`req-1/${stopped}#2`]);
+  await shift.bench.keep('preemption');
+});
+
+test('nothing is stopped for work of equal priority, or when it ends about as soon', () => {
+  const equal = new Shift();
+  equal.add(guest('req-1', 1, 8));
+  equal.hear([], 1000);
+  equal.add(guest('req-2', 1, 8));
+  expect(stops(equal.hear([task('req-1/0', 1, 'running')], 2000))).toEqual([]);
+  const soon = new Shift();
+  soon.add(guest('req-1', 1, 8, { estimateS: 10 }));
+  soon.hear([], 1000);
+  soon.hear([task('req-1/0', 1, 'running')], 6000);
+  soon.add(job('req-2', 1, 8, 20, { deadlineS: 30 }));
+  expect(stops(soon.hear([task('req-1/0', 1, 'running')], 1000))).toEqual([]);
+});
+
+// Stopped again and again before it has saved anything, a task would never end.
+test('what was stopped once gains a checkpoint before it is stopped again', () => {
+  const shift = new Shift();
+  shift.add(guest('req-1', 1, 8));
+  shift.hear([], 1000);
+  shift.hear([task('req-1/0', 1, 'running')], 40_000);
+  shift.add(job('req-2', 1, 8, 5, { deadlineS: 9 }));
+  expect(stops(shift.hear([task('req-1/0', 1, 'running')], 1000))).toHaveLength(1);
+  shift.hear([task('req-1/0', 1, 'exited', 'stopped')], 1000);
+  shift.hear([task('req-2/0', 1, 'running')], 1000);
+  shift.hear([task('req-2/0', 1, 'exited', 'done')], 1000);
+  shift.add(job('req-3', 1, 8, 5, { deadlineS: 44 }));
+  expect(stops(shift.hear([task('req-1/0', 2, 'running')], 28_000))).toEqual([]);
+  expect(stops(shift.hear([task('req-1/0', 2, 'running')], 8000))).toHaveLength(1);
+});
+
+test('what would lose its work for an aim of its own is not stopped to save another aim', () => {
+  const shift = new Shift();
+  shift.add(job('req-1', 1, 8, 300, { deadlineS: 900 }));
+  shift.hear([], 1000);
+  shift.add(job('req-2', 1, 8, 20, { priority: 1, deadlineS: 30 }));
+  expect(stops(shift.hear([task('req-1/0', 1, 'running')], 5000))).toEqual([]);
+});
+
+// The paper guards the head alone; in the order of priorities a job of the lowest one waited for ever.
+test('a job that nears the bound on waiting gets a reservation against all others', async () => {
+  const shift = new Shift();
+  const { bench } = shift;
+  shift.add(job('req-1', 1, 4, 30));
+  shift.hear([], 1000);
+  const first = task('req-1/0', 1, 'running');
+  shift.add(job('req-9', 1, 8, 60, { jobClass: 'large', priority: 3 }));
+  // A stream of more urgent work fills each gap as it comes.
+  let next = 2;
+  let on: ReportedTask[] = [first];
+  let begun = -1;
+  const from = bench.now;
+  while (begun < 0 && bench.now - from < 400_000) {
+    shift.add(job(`req-${100 + next}`, 1, 4, 25));
+    next += 1;
+    const starts = CoreBench.starts(shift.hear(on, 1000));
+    on = on.filter(({ job: id }) => id !== 'done');
+    for (const start of starts) {
+      const [, id = '', index = '', attempt = ''] = /^(.+)\/(\d+)#(\d+)$/.exec(start) ?? [];
+      on.push({ job: id, task: Number(index), attempt: Number(attempt), stage: 'running', exit: null });
+      if (id === 'req-9') begun = bench.now - from;
+    }
+    const ended = on.filter(({ job: id }) => {
+      const claim = bench.state.jobs.get(id)?.claims.get(0);
+      return id !== 'req-9' && claim !== undefined && bench.now - claim.madeAt > 25_000;
+    });
+    if (ended.length > 0) {
+      const rest = on.filter((one) => !ended.includes(one));
+      const said = ended.map(({ job: id, attempt }) => task(`${id}/0`, attempt, 'exited', 'done'));
+      const more = CoreBench.starts(shift.hear([...rest, ...said]));
+      if (more.some((start) => start.startsWith('req-9'))) begun = bench.now - from;
+      for (const start of more)
+        on.push(task(start.split('#')[0] ?? '', Number(start.split('#')[1]), 'running'));
+      on = on.filter((one) => !ended.includes(one));
+    }
+  }
+  const bound = bench.state.rules.policy.startBound(job('req-9', 1, 8, 60));
+  expect(begun).toBeGreaterThan(0.5 * bound - 1000);
+  expect(begun).toBeLessThan(bound);
+  bench.lines.splice(0, bench.lines.findIndex((line) => line.includes('req-9/0')) - 25);
+  await bench.keep('bounded-waiting');
+});
+
+test('of arrays of a class that have begun, one at a time is promised more', () => {
+  const shift = new Shift();
+  const { state } = shift.bench;
+  for (const id of ['req-1', 'req-2', 'req-3']) shift.add(guest(id, 9, 4));
+  for (const id of ['req-2', 'req-3']) Object.assign(state.jobs.get(id) ?? {}, { servedAt: 0 });
+  shift.hear([], 1000);
+  shift.bench.now += 200_000;
+  shift.bench.do({ kind: 'tick' });
+  expect(state.promised.map(({ spec }) => spec.id).sort()).toEqual(['req-1']);
+  for (const id of ['req-1']) Object.assign(state.jobs.get(id) ?? {}, { servedAt: shift.bench.now });
+  shift.bench.do({ kind: 'tick' });
+  expect(state.promised).toEqual([]);
+});
+
+// Below its guarantee a team need not wait for what others have borrowed, whatever its priority.
+test('a guarantee is taken back from who runs above its own', async () => {
+  const shift = new Shift();
+  const { bench } = shift;
+  const teams = bench.state.rules.teams as Map<string, object>;
+  teams.set('crew', { cpus: 0, cpusMax: 0, gpus: 0, gpusMax: 0 });
+  teams.set('choir', { cpus: 4, cpusMax: 0, gpus: 0, gpusMax: 0 });
+  shift.add(job('req-1', 2, 4, 600, { priority: 1 }));
+  shift.hear([], 1000);
+  const running = [task('req-1/0', 1, 'running'), task('req-1/1', 1, 'running')];
+  shift.hear(running, 5000);
+  const mine = (id: string) => job(id, 1, 4, 60, { team: 'choir', priority: 3 });
+  shift.add(mine('req-2'));
+  shift.add(mine('req-3'));
+  expect(stops(shift.hear(running, 1000))).toEqual(['req-1/0 grace 0']);
+  expect([...bench.state.guaranteed].map(({ spec }) => spec.id)).toEqual(['req-2']);
+  const left = task('req-1/1', 1, 'running');
+  const gone = task('req-1/0', 1, 'exited', 'stopped');
+  expect(CoreBench.starts(shift.hear([left, gone]))).toEqual(['req-2/0#1']);
+  // The second exceeds the guarantee together with the first: it waits like any other.
+  expect(stops(shift.hear([left, task('req-2/0', 1, 'running')], 5000))).toEqual([]);
+  await bench.keep('guarantee');
+});
--- /dev/null
+++ b/test/reads.test.ts
@@ -0,0 +1,165 @@
+/** Storms of questions: few requests however many ask, and no answer older than the question. */
+import { expect, test } from 'vitest';
+import { Admission } from '../src/adapters/admission.js';
+import { JobReads, type FoundJob } from '../src/adapters/reads.js';
+import type { StateService, Watch } from '../src/adapters/state.js';
+import { systemClock } from '../src/clock.js';
+import { VirtualClock } from './standins/clock.js';
+import { job } from './standins/core.js';
+import { Network } from './standins/network.js';
+import { StateStandin } from './standins/state.js';
+import { seeded } from './standins/world.js';
+
+const RPS = 100;
+
+/** A state service that takes some time for each answer, which is as of the moment it is given. */
+class Slow {
+  readonly clock = new VirtualClock();
+  readonly store = new StateStandin(new Network(this.clock, seeded(1)));
+  readonly asked: string[] = [];
+  down = false;
+  readonly reads: JobReads;
+
+  constructor(rps = RPS) {
+    const later = async <T>(what: string, serve: () => T): Promise<T | null> => {
+      this.asked.push(what);
+      await this.clock.sleep(5);
+      const answer = this.down ? null : serve();
+      await this.clock.sleep(5);
+      return answer;
+    };
+    const { store } = this;
+    const service: StateService = {
+      read: async (key) => (await later(`read ${key}`, () => ({ entry: store.read(key) }))) ?? 'unknown',
+      list: async (prefix) =>
+        (await later(`list ${prefix}`, () => ({ entries: store.list(prefix), revision: store.revision }))) ??
+        'unknown',
+      commit: async (txn) =>
+        (await later(`compare ${txn.when.length}`, () => store.commit(txn))) ?? { kind: 'refused' },
+      changes: async (prefix, after) =>
+        (await later<Watch>('changes', () => store.since(prefix, after))) ?? { kind: 'unknown' },
+      watch: () => Promise.resolve({ kind: 'unknown' }),
+      grant: () => Promise.resolve(null),
+      renew: () => Promise.resolve(null),
+      revoke: () => Promise.resolve(),
+      contactAt: () => null,
+      keepTo: () => undefined,
+    };
+    const clock = {
+      mono: () => this.clock.now,
+      wall: () => this.clock.now,
+      sleep: (ms: number) => this.clock.sleep(ms),
+      soon: (call: () => void) => this.clock.in(0, call),
+      measure: () => () => ({ steadyMs: 0, processorMs: 0 }),
+    };
+    this.reads = new JobReads(service, clock, rps, 80);
+  }
+
+  enter(id: string): void {
+    this.store.commit({ when: [], apply: [{ put: `job/${id}`, value: job(id, 1, 1, 10) }] });
+  }
+
+  end(id: string, stage: string): void {
+    const value = { stage, tasks: 1, done: 1 };
+    this.store.commit({ when: [], apply: [{ remove: `job/${id}` }, { put: `ended/${id}`, value }] });
+  }
+
+  /** Asks, and lets time pass until all is answered. */
+  async ask(ids: readonly string[]): Promise<FoundJob[]> {
+    const answers = Promise.all(ids.map((id) => this.reads.find(id)));
+    await this.clock.runUntil(this.clock.now + 5000);
+    return answers;
+  }
+}
+
+const names = (count: number): string[] => Array.from({ length: count }, (_, i) => `req-${i}`);
+
+// Each poll of a live job cost a request, of an unknown one two: eight times as many were refused.
+test('a thousand questions cost a few requests; a second each, a bounded number', async () => {
+  const slow = new Slow();
+  for (const id of names(500)) slow.enter(id);
+  const first = await slow.ask([...names(500), ...names(500)]);
+  expect(first.every(({ kind }) => kind === 'live')).toBe(true);
+  expect(slow.asked).toEqual(['list job/']);
+  slow.asked.length = 0;
+  const from = slow.clock.now;
+  const answers: Promise<FoundJob>[] = [];
+  for (let at = 0; at < 10_000; at += 10) {
+    slow.clock.at(from + at, () => answers.push(...names(20).map((id) => slow.reads.find(id))));
+  }
+  await slow.clock.runUntil(from + 15_000);
+  expect((await Promise.all(answers)).length).toBe(20_000);
+  expect(slow.asked.length).toBeLessThan(10 * 0.05 * RPS + 3);
+});
+
+test('an answer is as of a moment after its question, never of one before', async () => {
+  const slow = new Slow(1e6);
+  slow.enter('req-1');
+  await slow.ask(['req-1']);
+  const early = slow.reads.find('req-1');
+  await slow.clock.runUntil(slow.clock.now + 7);
+  // The read for the first question has been served; who asks from now on has been told of the end elsewhere.
+  slow.end('req-1', 'withdrawn');
+  const late = slow.reads.find('req-1');
+  await slow.clock.runUntil(slow.clock.now + 1000);
+  expect((await early).kind).toBe('live');
+  expect(await late).toMatchObject({ kind: 'ended', record: { stage: 'withdrawn' } });
+});
+
+test('jobs that nobody submitted: one comparison for many, and what ended is found among them', async () => {
+  const slow = new Slow();
+  slow.enter('req-1');
+  slow.end('req-2', 'done');
+  await slow.ask(['req-1']);
+  slow.asked.length = 0;
+  expect((await slow.ask(names(60).map((id) => `${id}00`))).every(({ kind }) => kind === 'none')).toBe(true);
+  expect(slow.asked).toEqual(['changes', 'compare 60']);
+  expect((await slow.ask(['req-2', 'req-77', 'req-1'])).map(({ kind }) => kind)).toEqual([
+    'ended',
+    'none',
+    'live',
+  ]);
+  // What has ended is never asked about again.
+  slow.asked.length = 0;
+  expect((await slow.ask(['req-2']))[0]).toMatchObject({ kind: 'ended', record: { stage: 'done' } });
+  expect(slow.asked).toEqual([]);
+});
+
+test('without the state service nothing is known; with it again, all is', async () => {
+  const slow = new Slow();
+  slow.enter('req-1');
+  await slow.ask(['req-1']);
+  slow.down = true;
+  expect((await slow.ask(['req-1', 'req-9'])).map(({ kind }) => kind)).toEqual(['unknown', 'unknown']);
+  slow.down = false;
+  slow.end('req-1', 'done');
+  expect((await slow.ask(['req-1', 'req-9'])).map(({ kind }) => kind)).toEqual(['ended', 'none']);
+});
+
+test('a mirror that is too old is loaded anew', async () => {
+  const slow = new Slow();
+  slow.enter('req-1');
+  await slow.ask(['req-1']);
+  for (let i = 0; i < 10_100; i += 1) slow.store.commit({ when: [], apply: [{ put: 'noise', value: i }] });
+  slow.end('req-1', 'done');
+  slow.enter('req-2');
+  expect((await slow.ask(['req-1', 'req-2'])).map(({ kind }) => kind)).toEqual(['ended', 'live']);
+});
+
+// A record that could not be read was answered 503 for ever: its job was forgotten, though accepted.
+test('a job whose description is damaged stays known', async () => {
+  const slow = new Slow();
+  slow.store.commit({ when: [], apply: [{ put: 'job/req-1', value: 'rubbish' }] });
+  expect((await slow.ask(['req-1']))[0]?.kind).toBe('damaged');
+});
+
+// With every poll of one job refused by chance, it would be forgotten while others are served.
+test('a question that was refused goes before others when it comes again', () => {
+  const admission = new Admission({ ...systemClock, mono: () => 0 }, 20);
+  for (let i = 0; i < 15; i += 1) expect(admission.enter('show', `req-${i}`)).toBeNull();
+  expect(admission.enter('show', 'req-77')).not.toBeNull();
+  expect(admission.enter('show', 'req-78')).not.toBeNull();
+  expect(admission.enter('show', 'req-99')).not.toBeNull();
+  expect(admission.enter('show', 'req-77')).toBeNull();
+  expect(admission.enter('show', 'req-3')).not.toBeNull();
+});
--- a/test/server.test.ts
+++ b/test/server.test.ts
@@ -19,9 +19,11 @@
 let down = false;
 const service: StateService = {
   read: (key) => Promise.resolve(down ? 'unknown' : { entry: state.read(key) }),
-  list: (prefix) => Promise.resolve({ entries: state.list(prefix), revision: state.revision }),
+  list: (prefix) =>
+    Promise.resolve(down ? 'unknown' : { entries: state.list(prefix), revision: state.revision }),
   commit: (txn) => Promise.resolve(down ? { kind: 'refused' } : state.commit(txn)),
   watch: () => Promise.resolve({ kind: 'unknown' }),
+  changes: (prefix, after) => Promise.resolve(down ? { kind: 'unknown' } : state.since(prefix, after)),
   grant: () => Promise.resolve(null),
   renew: () => Promise.resolve(null),
   revoke: () => Promise.resolve(),
@@ -36,6 +38,7 @@
   clock: systemClock,
   teams: new Map([['crew', { cpus: 0, cpusMax: 8, gpus: 0, gpusMax: 0 }]]),
   patience: 100,
+  rps: 10_000,
   valueBytes: 2048,
   conditions: 24,
   knowsPipelines: () => Promise.resolve(understood),
--- a/test/standins/state.ts
+++ b/test/standins/state.ts
@@ -122,6 +122,15 @@
       .map((key) => ({ key, value: this.keys.get(key)?.value, stamp: this.keys.get(key)?.stamp ?? 0 }));
   }
 
+  /** What has changed since a revision. */
+  since(prefix: string, after: number): Exclude<Watch, { readonly kind: 'unknown' }> {
+    this.expire();
+    const oldest = this.#changes[0]?.stamp ?? 0;
+    if (this.#changes.length >= KEPT_CHANGES && after < oldest) return { kind: 'tooOld' };
+    const changes = this.#changes.filter(({ key, stamp }) => stamp > after && key.startsWith(prefix));
+    return { kind: 'changes', changes, revision: this.revision };
+  }
+
   watch(
     prefix: string,
     after: number,
@@ -139,16 +148,10 @@
         clock.in(100, look);
         return;
       }
-      const oldest = this.#changes[0]?.stamp ?? 0;
-      if (this.#changes.length >= KEPT_CHANGES && after < oldest) {
+      const found = this.since(prefix, after);
+      if (found.kind === 'tooOld' || found.changes.length > 0 || clock.now >= until) {
         answered = true;
-        reply({ kind: 'tooOld' });
-        return;
-      }
-      const changes = this.#changes.filter(({ key, stamp }) => stamp > after && key.startsWith(prefix));
-      if (changes.length > 0 || clock.now >= until) {
-        answered = true;
-        reply({ kind: 'changes', changes, revision: this.revision });
+        reply(found);
       } else if (!this.#waiting.includes(look)) this.#waiting.push(look);
     };
     clock.in(waitMs, look);
@@ -247,6 +250,11 @@
     return this.#alive(found ?? { kind: 'unknown' });
   }
 
+  async changes(prefix: string, after: number): Promise<Watch> {
+    const answer = await this.#ask(() => this.service.since(prefix, after));
+    return answer === null || answer === 'down' ? { kind: 'unknown' } : answer;
+  }
+
   async grant(lifeMs: number): Promise<number | null> {
     const answer = await this.#ask(() => this.service.grant(lifeMs));
     return answer === 'down' ? null : answer;
@@ -272,6 +280,14 @@
   return { ...entry, value };
 }
 
+function withoutLater(found: Watch): Watch {
+  if (found.kind !== 'changes') return found;
+  return {
+    ...found,
+    changes: found.changes.map((change) => ({ ...change, ...withoutLaterFields(change) })),
+  };
+}
+
 /** What a controller of the version before pipelines sees, and writes, of the same data. */
 export class EarlierStateClient extends StateClient {
   override async read(key: string): Promise<Read> {
@@ -288,12 +304,11 @@
   }
 
   override async watch(prefix: string, after: number, waitMs: number): Promise<Watch> {
-    const found = await super.watch(prefix, after, waitMs);
-    if (found.kind !== 'changes') return found;
-    return {
-      ...found,
-      changes: found.changes.map((change) => ({ ...change, ...withoutLaterFields(change) })),
-    };
+    return withoutLater(await super.watch(prefix, after, waitMs));
+  }
+
+  override async changes(prefix: string, after: number): Promise<Watch> {
+    return withoutLater(await super.changes(prefix, after));
   }
 
   override async commit(txn: Transaction): Promise<Commit> {
