--- a/src/core/easy.ts
+++ b/src/core/easy.ts
@@ -9,6 +9,7 @@
 import { keepRoom } from './keeping.js';
 import { claimTask } from './ledger.js';
 import { makeRoom } from './preempt.js';
+import { unservedFor } from './promises.js';
 import { currentQueue } from './queue.js';
 import { allows, avoids, fetchTime, fits, give, isAtFault, roomOf, sum, take } from './room.js';
 import { onlyType, scarceTypes } from './scarce.js';
@@ -161,7 +162,7 @@
   readonly now: Now;
   readonly largest: number;
   /** Room held for the head of the queue, and for jobs whose wait nears the bound; none binds its own job. */
-  readonly held: { readonly job: JobState; readonly holds: ReadonlyMap<Site, Hold> }[];
+  readonly held: { readonly job: JobState; readonly at: number; readonly holds: ReadonlyMap<Site, Hold> }[];
   /** Room held for jobs that only one type can take, against jobs with a choice. */
   readonly scarce: Map<Site, Hold>;
   /** The lowest priority among jobs that room is so held for. */
@@ -477,13 +478,18 @@
 }
 
 /** Whether others may be stopped for a job: it is owed its room, or would miss an aim. */
-function isEntitled(state: CoreState, job: JobState, now: Now): boolean {
+function isEntitled({ state, now, held }: Pass, job: JobState): boolean {
   // Told at the next report, saved, and proven gone by the one after: later would be too late.
   const making = 4 * state.rules.timing.longestReport;
+  // What ends anyway comes too late for what was promised.
+  const isLate = (): boolean => {
+    const at = held.find(({ job: owner }) => owner === job)?.at ?? Infinity;
+    return unservedFor(job, now) + (at - now.mono) + making > state.rules.policy.startBound(job.spec);
+  };
   return (
     state.guaranteed.has(job) ||
-    state.promised.includes(job) ||
     isPressed(state, job, now) ||
+    (state.promised.includes(job) && isLate()) ||
     losesBy(state, job, making, now)
   );
 }
@@ -506,8 +512,8 @@
   };
   for (const job of state.promised) {
     if (job.waiting === 0 || !isInTurn(state, job)) continue;
-    const holds = reserveFor(pass, job)?.holds;
-    if (holds !== undefined) pass.held.push({ job, holds });
+    const found = reserveFor(pass, job);
+    if (found !== null) pass.held.push({ job, ...found });
   }
   let head: Head | null = null;
   let cleared = 0;
@@ -515,14 +521,14 @@
     if (!isInTurn(state, job)) continue;
     // One at fault takes what is left over, and holds nothing for itself.
     if (placeJob(pass, job) || isAtFault(job)) continue;
-    if (timesMoved && cleared < MOST_CLEARED && isEntitled(state, job, now)) {
+    if (timesMoved && cleared < MOST_CLEARED && isEntitled(pass, job)) {
       cleared += 1;
       makeRoom(state, job, together(job) === 1 ? waitingTasks(job) : together(job), ableFor(pass, job), now);
     }
     if (head !== null) continue;
     const reservation = reserveFor(pass, job);
     const holds = reservation?.holds ?? new Map<Site, Hold>();
-    pass.held.push({ job, holds });
+    pass.held.push({ job, at: reservation?.at ?? Infinity, holds });
     head = {
       job: job.spec.id,
       machines: [...holds.keys()].map(({ machine }) => machine.name),
--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -2,7 +2,7 @@
 import { losesBy } from './aims.js';
 import type { Effect } from './effects.js';
 import { noteError, noteSuccess } from './faults.js';
-import { isDeafTogether, isSignOfLife, noteHearing } from './hearing.js';
+import { isDeaf, isDeafTogether, isSignOfLife, noteAnswer, noteHearing } from './hearing.js';
 import { expectedRun } from './jobs.js';
 import { isDurable, recordStrayDone, releaseClaim } from './ledger.js';
 import { log } from './log.js';
@@ -40,6 +40,7 @@
     answeredAt: null,
     told: [],
     deafSince: null,
+    misses: 0,
     relayedAt: null,
     knownAt: now.mono,
     whole: false,
@@ -316,9 +317,11 @@
   const held = release(state, machine);
   if (held === null || lead === null) return;
   const commands = commandsFor(state, machine);
-  machine.answeredAt = state.mono;
-  machine.told = commands.flatMap(({ op, job, task, attempt }) =>
-    op === 'start' ? [`${taskKey(job, task)}#${attempt}`] : [],
+  const starts = commands.filter(({ op }) => op === 'start');
+  noteAnswer(
+    state,
+    machine,
+    starts.map(({ job, task, attempt }) => `${taskKey(job, task)}#${attempt}`),
   );
   effects.push({
     kind: 'reply',
@@ -534,7 +537,7 @@
       if (now.mono > machine.takenAt && silent > 1.5 * timing.longestReport) leave(machine, 'taken');
       else drain(state, machine, machine.takenAt, now);
     }
-    if (machine.deafSince !== null && now.mono - machine.deafSince > timing.silence && !deafTogether) {
+    if (!deafTogether && isDeaf(state, machine, now)) {
       leave(machine, 'deaf');
       continue;
     }
--- a/src/core/hearing.ts
+++ b/src/core/hearing.ts
@@ -12,6 +12,19 @@
 /** More doubted machines than this share are one event: the path to them, or this node. */
 const MOST_DEAF = 0.3;
 
+/** So many answers in a row that were missed are no chance. */
+const MISSES = 2;
+
+/** Remembers an answer. One that was given late may have been dropped for that: it says nothing. */
+export function noteAnswer(state: CoreState, machine: Machine, starts: readonly string[]): void {
+  machine.answeredAt = state.busy ? null : state.mono;
+  machine.told = state.busy ? [] : starts;
+}
+
+/** Whether a machine has not heard what it is told for so long that it is of no use. */
+export const isDeaf = (state: CoreState, { deafSince, misses }: Machine, now: Now): boolean =>
+  !state.busy && deafSince !== null && misses >= MISSES && now.mono - deafSince > state.rules.timing.silence;
+
 /** What a report that is newer than the latest says of the answers before it. */
 export function noteHearing(state: CoreState, machine: Machine, report: Report, now: Now): void {
   const { longestReport, workerLease } = state.rules.timing;
@@ -23,8 +36,13 @@
   const missed = report.session === session && told.some((start) => !listed.has(start));
   const heard = told.some((start) => listed.has(start));
   const expired = report.session > session && session > 0 && since < workerLease;
-  if (heard || (!missed && !expired && since <= IN_RHYTHM * longestReport)) machine.deafSince = null;
-  else if (missed || expired) machine.deafSince ??= now.mono;
+  if (heard || (!missed && !expired && since <= IN_RHYTHM * longestReport)) {
+    machine.deafSince = null;
+    machine.misses = 0;
+  } else if (missed || expired) {
+    machine.deafSince ??= now.mono;
+    machine.misses += 1;
+  }
   machine.told = [];
 }
 
--- a/src/core/state.ts
+++ b/src/core/state.ts
@@ -212,6 +212,8 @@
   told: readonly string[];
   /** Steady time since which there is reason to think that it does not hear its answers; null: none. */
   deafSince: number | null;
+  /** Answers in a row that it seems not to have heard. */
+  misses: number;
   /** Steady time at which a deputy last told of it. */
   relayedAt: number | null;
   /** Its silence counts from here when it was never heard. */
--- a/src/describe.ts
+++ b/src/describe.ts
@@ -1,14 +1,15 @@
 /** The operators' view of a controller: one object, bounded in size. */
-import { freeRoom } from './core/room.js';
+import { freeRoom, isAtFault } from './core/room.js';
 import { isReady, waitingTasks } from './core/jobs.js';
 import { waitingJobs } from './core/queue.js';
-import type { CoreState, Machine, Now } from './core/state.js';
+import { taskKey, type CoreState, type Machine, type Now } from './core/state.js';
 
 const MOST_LISTED = 100;
 
 function stageOf(machine: Machine): string {
   if (machine.leaving !== null) return 'leaving';
   if (machine.takenAt !== null) return 'being taken';
+  if (machine.deafSince !== null) return 'deaf';
   if (machine.heardAt === null) return 'booting';
   return machine.whole ? 'up' : 'unproven';
 }
@@ -65,6 +66,19 @@
             shadowInMs: head.shadow === null ? null : Math.round(head.shadow - now.mono),
             reservedOn: head.machines.slice(0, 10),
           },
+    promised: state.promised.map(({ spec }) => spec.id),
+    beingStopped: [...state.halting].slice(0, 10).map(({ job, task }) => taskKey(job.spec.id, task)),
+    atFault: [...state.jobs.values()]
+      .filter((job) => job.over === null && isAtFault(job))
+      .slice(0, 10)
+      .map(({ spec, failedOn, retryAt }) => ({
+        id: spec.id,
+        failedOn: failedOn.size,
+        nextTryInMs: Math.max(0, Math.round(retryAt - now.mono)),
+      })),
+    teams: Object.fromEntries(
+      [...state.use].map(([team, { cpus, gpus, tasks }]) => [team, { cpus: Math.round(cpus), gpus, tasks }]),
+    ),
     moneyPerHour: Math.round(perHour * 100) / 100,
     jobs: state.jobs.size,
     machines: [...state.machines.values()]
--- a/test/hearing.test.ts
+++ b/test/hearing.test.ts
@@ -67,6 +67,18 @@
   await bench.keep('deaf-stays');
 });
 
+// A leader that is behind its timers answers too late: 8 machines at work were given back with 200 tasks.
+test('what a busy leader was late to answer is held against nobody', () => {
+  const { bench, seq } = deaf();
+  bench.do({ kind: 'tick', busy: true });
+  for (let i = 1; i < 6; i += 1) {
+    bench.now += UNANSWERED;
+    bench.hear(report('m', seq + i));
+    others(bench, 10 + i);
+    expect(returned(bench.do({ kind: 'tick', busy: true }))).toEqual([]);
+  }
+});
+
 test('a session that moves on although it was answered is a reason for doubt', () => {
   const bench = new CoreBench();
   bench.hear(report('m', 1));
