Stand-ins play deaf machines, late copies, lives back at once, mistaken jobs; two questions for the checker

The checker asks whether an accepted job went 75 s without an answered question, and whether half of each class, team and of each class's largest jobs was served, the largest begun within four minutes; it fails on planted histories.

--- a/src/core/ledger.ts
+++ b/src/core/ledger.ts
@@ -108,6 +108,7 @@
     stage: null,
     runningSince: null,
     expectedEnd,
+    owed: state.promised.includes(job),
     unwanted: false,
   };
   job.servedAt = now.mono;
@@ -286,6 +287,7 @@
       stage: null,
       runningSince: null,
       expectedEnd: now.mono - age + state.rules.policy.expectedRun(job.spec),
+      owed: false,
       unwanted: false,
     };
     job.servedAt = now.mono;
--- a/src/core/preempt.ts
+++ b/src/core/preempt.ts
@@ -59,7 +59,7 @@
       const borrowed = guaranteed && claim.job.spec.team !== job.spec.team && isOver(claim.job.spec.team);
       if (!(lower || borrowed) || state.guaranteed.has(claim.job) || !isStoppable(state, claim, now))
         continue;
-      if (!owed && !isSpare(state, claim)) continue;
+      if (!owed && (claim.owed || !isSpare(state, claim))) continue;
       const machine = state.machines.get(claim.machine);
       if (machine === undefined) continue;
       const known = found.get(machine);
--- a/src/core/state.ts
+++ b/src/core/state.ts
@@ -102,6 +102,8 @@
   /** Steady time of its first report as running. */
   runningSince: number | null;
   expectedEnd: number;
+  /** It was promised its room: the last to be stopped for others. */
+  readonly owed: boolean;
   /** To be stopped although its job goes on. */
   unwanted: boolean;
 }
--- a/test/days.test.ts
+++ b/test/days.test.ts
@@ -1,6 +1,7 @@
 /** The whole service through drawn days, every rule of the protocol checked by an outsider. */
 import fc from 'fast-check';
 import { expect, test } from 'vitest';
+import { Checker } from './standins/checker.js';
 import { drawDay, seeded, TIGHT, World, type DaySize } from './standins/world.js';
 
 const DAY = 90_000;
@@ -8,9 +9,11 @@
 const REST = 150_000;
 
 async function playDay(seed: number, faults: number, cpusMax: number, size?: DaySize): Promise<World> {
-  const world = new World(seeded(seed), { cpusMax });
+  const world = new World(seeded(seed), { cpusMax, copies: size?.onCall === true });
   drawDay(world, DAY, faults, size);
   await world.clock.runUntil(DAY + REST);
+  // The last trouble lasts no longer than this.
+  if (size?.onCall === true) world.checker.lookForForgotten(DAY + 40_000, DAY + REST);
   return world;
 }
 
@@ -105,3 +108,56 @@
     { seed: 9, numRuns: Number(process.env['DAYS'] ?? 12), endOnFailure: true },
   );
 }, 900_000);
+
+const ON_CALL: DaySize = { jobs: 16, mostTasks: 6, machines: 8, onCall: true };
+
+test('what the on-call people met: no rule is broken, nothing is forgotten, every share is served', async () => {
+  await fc.assert(
+    fc.asyncProperty(
+      fc.integer({ min: 1, max: 1_000_000 }),
+      fc.integer({ min: 2, max: 14 }),
+      async (seed, faults) => {
+        const world = await playDay(seed, faults, 0, ON_CALL);
+        expect(world.checker.broken).toEqual([]);
+        expect(world.checker.unfinished()).toEqual([]);
+        expect(world.checker.underserved((id) => world.broken.has(id))).toEqual([]);
+      },
+    ),
+    { seed: 10, numRuns: Number(process.env['DAYS'] ?? 25), endOnFailure: true },
+  );
+}, 900_000);
+
+const planted = (): Checker => {
+  const checker = new Checker(30_000, 0);
+  const place = { team: 'crew', cpus: 1, memoryGb: 1, spot: true, zone: null, oneZone: false, spread: false };
+  for (const [id, jobClass, tasks] of [
+    ['req-1', 'idle', 9],
+    ['req-2', 'idle', 1],
+    ['req-3', 'idle', 9],
+  ] as const) {
+    checker.submitted({ ...place, id, jobClass, tasks });
+    checker.answered(id, 201, { stage: 'pending' }, 0, 'submit');
+  }
+  return checker;
+};
+
+test('the checker fails on planted histories: a job without an answer, a class, a large job', () => {
+  const forgotten = planted();
+  forgotten.asked('req-1', 99_000);
+  forgotten.answered('req-1', 503, {}, 99_000, 'show');
+  forgotten.lookForForgotten(30_000, 100_000);
+  expect(forgotten.broken).toEqual([]);
+  forgotten.lookForForgotten(20_000, 100_000);
+  expect(forgotten.broken).toEqual(['forgotten: req-1 had no answer for 80 s']);
+  const late = planted();
+  late.taskStarts('req-1', 0, 'm', 'a', true, 241_000);
+  late.taskStarts('req-2', 0, 'm', 'a', true, 1000);
+  late.taskGone('req-2', 0, 'm', true, 2000);
+  late.answered('req-2', 200, { stage: 'done' }, 3000, 'show');
+  expect(late.underserved()).toEqual([
+    'class idle: 1 of 3 served',
+    'team crew: 1 of 3 served',
+    'largest of idle: 0 of 2 served',
+    'largest of idle: 0 of 2 begun in time',
+  ]);
+});
--- a/test/standins/checker.ts
+++ b/test/standins/checker.ts
@@ -6,6 +6,7 @@
 
 export interface SubmittedJob {
   readonly id: string;
+  readonly jobClass?: string;
   readonly team: string;
   readonly tasks: number;
   readonly cpus: number;
@@ -25,6 +26,10 @@
   cancelledAt: number | null;
   cancelAsked: boolean;
   final: string | null;
+  /** When its user last asked about it, and last got an answer. */
+  askedAt: number;
+  answeredAt: number;
+  startedAt: number | null;
   readonly done: Set<number>;
 }
 
@@ -35,6 +40,9 @@
   readonly zone: string;
 }
 
+const MOST_UNANSWERED = 75_000;
+const MOST_TO_BEGIN = 240_000;
+
 export class Checker {
   readonly broken: string[] = [];
   readonly #jobs = new Map<string, SubmittedJob>();
@@ -60,6 +68,9 @@
         cancelledAt: null,
         cancelAsked: false,
         final: null,
+        askedAt: -Infinity,
+        answeredAt: -Infinity,
+        startedAt: null,
         done: new Set(),
       };
       this.#standing.set(id, standing);
@@ -89,6 +100,10 @@
     this.#of(job.id);
   }
 
+  asked(id: string, now: number): void {
+    this.#of(id).askedAt = now;
+  }
+
   cancelAsked(id: string): void {
     this.#of(id).cancelAsked = true;
   }
@@ -102,6 +117,7 @@
     kind: 'submit' | 'show' | 'withdraw',
   ): void {
     const standing = this.#of(id);
+    if (status < 500) standing.answeredAt = now;
     if (status === 200 || status === 201) {
       if (!this.#jobs.has(id)) this.#break('invented', id);
       standing.acceptedAt ??= now;
@@ -133,6 +149,7 @@
 
   taskStarts(job: string, task: number, machine: string, zone: string, spot: boolean, now: number): void {
     this.started += 1;
+    this.#of(job).startedAt ??= now;
     const spec = this.#jobs.get(job);
     if (spec === undefined) {
       this.#break('invented', `${job}/${task} runs`);
@@ -179,6 +196,49 @@
     for (const { job, task } of this.#on) this.#checkCancelled(job, task, now);
   }
 
+  /** Once troubles are over, no accepted job may go so long without an answered question. */
+  lookForForgotten(calmSince: number, now: number): void {
+    for (const [id, { accepted, askedAt, answeredAt }] of this.#standing) {
+      const unanswered = now - Math.max(answeredAt, calmSince);
+      if (accepted && askedAt > answeredAt && unanswered > MOST_UNANSWERED)
+        this.#break('forgotten', `${id} had no answer for ${(unanswered / 1000).toFixed(0)} s`);
+    }
+  }
+
+  /**
+   * Classes, teams and the largest jobs of each class of which less than half was served, and those
+   * largest of which half did not begin in time; without those that can never be served.
+   */
+  underserved(isBroken: (id: string) => boolean = () => false): string[] {
+    const groups = new Map<string, { jobs: number; done: number; begun: number }>();
+    const largest = new Map<string, number>();
+    const counted = [...this.#jobs.values()].filter(({ id }) => {
+      const { accepted, cancelAsked } = this.#of(id);
+      return accepted && !cancelAsked && !isBroken(id);
+    });
+    for (const { jobClass = '', tasks } of counted)
+      largest.set(jobClass, Math.max(tasks, largest.get(jobClass) ?? 0));
+    const count = (name: string, id: string): void => {
+      const { final, startedAt, acceptedAt } = this.#of(id);
+      const group = groups.get(name) ?? { jobs: 0, done: 0, begun: 0 };
+      groups.set(name, group);
+      group.jobs += 1;
+      if (final === 'done') group.done += 1;
+      if (startedAt !== null && startedAt - (acceptedAt ?? 0) <= MOST_TO_BEGIN) group.begun += 1;
+    };
+    for (const { id, team, jobClass = '', tasks } of counted) {
+      count(`class ${jobClass}`, id);
+      count(`team ${team}`, id);
+      if (tasks === largest.get(jobClass)) count(`largest of ${jobClass}`, id);
+    }
+    return [...groups].flatMap(([name, { jobs, done, begun }]) => [
+      ...(2 * done < jobs ? [`${name}: ${done} of ${jobs} served`] : []),
+      ...(name.startsWith('largest') && 2 * begun < jobs
+        ? [`${name}: ${begun} of ${jobs} begun in time`]
+        : []),
+    ]);
+  }
+
   unfinished(): string[] {
     return [...this.#standing].filter(([, s]) => s.accepted && s.final === null).map(([id]) => id);
   }
--- a/test/standins/cloud.ts
+++ b/test/standins/cloud.ts
@@ -38,6 +38,10 @@
   readonly reportMs: number;
   readonly leaseMs: number;
   readonly runMs: (job: string, task: number) => number;
+  /** Whether a job was submitted with a mistake: its tasks fail on every machine. */
+  readonly isBroken: (job: string) => boolean;
+  /** After how long a copy of a report arrives, and at which controller; null: none does. */
+  readonly copy: () => { readonly afterMs: number; readonly node: string | null } | null;
 }
 
 export class Worker {
@@ -142,6 +146,8 @@
       this.#elsewhere();
       next(1000);
     });
+    const copy = this.rules.copy();
+    if (copy !== null) clock.in(copy.afterMs, () => this.deliver(copy.node ?? node, body, () => undefined));
     if (this.network.isCut(this.listed.name, node) && this.network.draw() < 0.5) return;
     this.network.send(this.listed.name, node, () =>
       this.deliver(node, body, (status, text) =>
@@ -209,7 +215,7 @@
         this.network.clock.in(this.rules.runMs(job, task), () =>
           this.#awake(() => {
             const still = this.tasks.get(`${name}#${take}`) === running && running.stage === 'running';
-            if (still) this.#end(running, this.faulty ? 'error' : 'done');
+            if (still) this.#end(running, this.faulty || this.rules.isBroken(job) ? 'error' : 'done');
           }),
         );
       }),
--- a/test/standins/network.ts
+++ b/test/standins/network.ts
@@ -5,6 +5,7 @@
 
 export class Network {
   readonly #cuts = new Map<string, number>();
+  readonly #deaf = new Map<string, number>();
 
   constructor(
     readonly clock: VirtualClock,
@@ -19,12 +20,18 @@
     this.#cuts.set(this.#key(from, to), this.clock.now + forMs);
   }
 
+  /** What is sent to a host is lost; what it sends arrives. */
+  deafen(host: string, forMs: number): void {
+    this.#deaf.set(host, this.clock.now + forMs);
+  }
+
   isCut(from: string, to: string): boolean {
     return (this.#cuts.get(this.#key(from, to)) ?? 0) > this.clock.now;
   }
 
   /** Delivers one message, after the cut if there is one. */
   send(from: string, to: string, deliver: () => void): void {
+    if ((this.#deaf.get(to) ?? 0) > this.clock.now) return;
     const until = Math.max(this.clock.now, this.#cuts.get(this.#key(from, to)) ?? 0);
     const slow = this.draw() < 0.01 ? 200 : 2;
     this.clock.at(until + slow * (0.5 + this.draw()), deliver);
--- a/test/standins/serve.ts
+++ b/test/standins/serve.ts
@@ -30,7 +30,14 @@
   settings.map((one) => [one.host_name, new HttpClient(parseAddress(one.public_addr), 16)]),
 );
 const cloud = new CloudStandin(network, (listed: ListedMachine) => {
-  const rules = { nodes: names, reportMs: 1000, leaseMs: 10_000, runMs: () => RUN_MS };
+  const rules = {
+    nodes: names,
+    reportMs: 1000,
+    leaseMs: 10_000,
+    runMs: () => RUN_MS,
+    isBroken: () => false,
+    copy: () => null,
+  };
   return new Worker(listed, network, rules, checker, (node, body, reply) => {
     const call = clients.get(node)?.call('POST', '/v1/report', JSON.stringify(body), 4000);
     void call?.then(({ status, body: told }) => {
--- a/test/standins/world.ts
+++ b/test/standins/world.ts
@@ -67,6 +67,8 @@
   readonly limits?: object;
   /** What controllers log is kept, to be read. */
   readonly keepLog?: boolean;
+  /** Copies of reports come late, from seconds to well over a lease, at any controller. */
+  readonly copies?: boolean;
   /** All controllers begin as the version before pipelines. */
   readonly earlier?: boolean;
 }
@@ -93,6 +95,8 @@
   readonly jobs = new Map<string, SubmittedJob>();
   readonly accepted = new Set<string>();
   readonly logged: Logged[] = [];
+  /** Jobs submitted with a mistake. */
+  readonly broken = new Set<string>();
   readonly #lives = new Map<string, Life>();
   readonly #earlier = new Set<number>();
   #refusedUntil = 0;
@@ -120,6 +124,8 @@
       reportMs: 1000,
       leaseMs: 10_000,
       runMs: () => 2000 + 6000 * this.draw(),
+      isBroken: (job: string) => this.broken.has(job),
+      copy: () => this.#copy(),
     };
     return new Worker(listed, this.network, rules, this.checker, (node, body, reply) => {
       const life = this.#lives.get(node);
@@ -129,6 +135,12 @@
     });
   }
 
+  #copy(): { afterMs: number; node: string | null } | null {
+    if (this.options.copies !== true || this.draw() > 0.3) return null;
+    const node = this.draw() < 0.5 ? null : (NODES[Math.floor(this.draw() * NODES.length)] ?? null);
+    return { afterMs: 500 + 30_000 * this.draw() ** 2, node };
+  }
+
   /** What each living node answers the load balancer. */
   ready(): boolean[] {
     return NODES.map((name) => this.#lives.get(name)?.node.ready() === true);
@@ -280,6 +292,7 @@
     const life = this.#reachable();
     if (life === null) return null;
     const { users } = life.node;
+    this.checker.asked(id, this.clock.now);
     const call =
       kind === 'submit' ? users.submit(body) : kind === 'show' ? users.show(id) : users.withdraw(id);
     const answer = await Promise.race([call, this.clock.sleep(5000).then(() => null)]);
@@ -295,7 +308,7 @@
     this.jobs.set(job.id, job);
     const body = {
       nameId: job.id,
-      repertoire: 'class',
+      repertoire: job.jobClass ?? 'class',
       crew: job.team,
       form: 'array',
       urgency: 'normal',
@@ -342,6 +355,8 @@
   readonly machines: number;
   readonly pipelines?: number;
   readonly pipelinesFromMs?: number;
+  /** What the on-call people met: deaf machines, lives that are back at once, lone leaders, mistaken jobs. */
+  readonly onCall?: boolean;
 }
 
 const SMALL_DAY: DaySize = { jobs: 14, mostTasks: 6, machines: 6 };
@@ -388,7 +403,10 @@
       spread: draw() < 0.1,
     };
     const cancelAfter = draw() < 0.3 ? 20_000 * draw() : null;
-    clock.in(lengthMs * 0.7 * draw(), () => void world.user(job, cancelAfter));
+    clock.in(lengthMs * 0.7 * draw(), () => {
+      // Whoever submitted it with a mistake finds out in the end.
+      void world.user(job, world.broken.has(id) ? 90_000 : cancelAfter);
+    });
   }
   for (let i = 0; i < (size.pipelines ?? 0); i += 1)
     clock.in(
@@ -435,5 +453,32 @@
     () => world.refusePeers(40_000 * draw()),
     () => world.freeze(Math.floor(draw() * 3), 10_000 * draw()),
   ];
+  const onCall: (() => void)[] = [
+    () => network.deafen(pick([...cloud.workers.keys()]) ?? '', 40_000 * draw()),
+    () => {
+      for (const name of cloud.workers.keys()) if (draw() < 0.4) network.deafen(name, 20_000 * draw());
+    },
+    () => world.crash(Math.floor(draw() * 3), 20 + 80 * draw()),
+    () => {
+      // Down and up again several times running, and another with it.
+      const node = Math.floor(draw() * 3);
+      for (let i = 0; i < 4; i += 1) clock.in(700 * i, () => world.crash(node, 20 + 80 * draw()));
+      clock.in(1000 * draw(), () => world.crash((node + 1) % 3, 20 + 80 * draw()));
+    },
+    () => {
+      // Workers still reach it, nobody else does: the state service refuses it, links are gone.
+      const alone = pick(world.leaders()) ?? pick(NODES);
+      const forMs = 40_000 * draw();
+      state.refuse(alone, forMs);
+      for (const other of NODES) if (other !== alone) network.cut(alone, other, forMs);
+      network.cut(alone, 'cloud', forMs);
+    },
+    () => network.deafen(pick(NODES), 8000 * draw()),
+  ];
+  if (size.onCall === true) {
+    troubles.push(...onCall, ...onCall);
+    for (let i = 0; i < size.jobs; i += 1)
+      if (draw() < 0.12) world.broken.add(`req-${String(i).padStart(6, '0')}`);
+  }
   for (let i = 0; i < faults; i += 1) clock.in(5000 + lengthMs * 0.8 * draw(), () => pick(troubles)());
 }
