A busy leader paces what can wait; idle-time work's first job runs to its end; dear rooms when cheap ones cannot do

Change: behind its timers a leader goes through the queue every half tick and places 8 tasks a tick of what could wait; what can no longer be in time stands in its arrival place among idle-time work; a class's first idle job older than the bound is not stopped; dear machines that are up serve idle-time work that all cheap ones could not finish within two bounds; a leader that hands over waits a tick for the answer of one that is to lead.

--- a/src/core/aims.ts
+++ b/src/core/aims.ts
@@ -4,7 +4,7 @@
  * them; one that is lost no longer hurries a job, and the next one does in its time.
  */
 import { expectedRun, startLatency } from './jobs.js';
-import { fits } from './room.js';
+import { allows, fits } from './room.js';
 import type { ClassAims, CoreState, JobState, Now } from './state.js';
 import type { JobSpec } from './types.js';
 
@@ -21,6 +21,28 @@
 export const isIdleWork = (state: CoreState, spec: JobSpec): boolean =>
   spec.priority === 3 && spec.deadlineS === null && !state.rules.aims.has(spec.jobClass);
 
+/** An idle-time class may take so many bounds on waiting if it had all cheap machines; beyond, dear ones serve too. */
+const MOST_BOUNDS = 2;
+
+/** Tasks of a kind that all cheap machines up now could hold at once. */
+function cheapSlots(state: CoreState, spec: JobSpec): number {
+  let slots = 0;
+  for (const { type, zone, spot, size } of state.sites.groups) {
+    if (!spot || !allows(spec, type.name, zone, spot) || !fits(spec, type)) continue;
+    slots += size * Math.floor(Math.min(type.cpus / spec.cpus, type.memoryGb / spec.memoryGb, Infinity));
+  }
+  return slots;
+}
+
+/** Whether a job keeps off dear machines: idle-time work that cheap ones could serve in bearable time. */
+export function isThrifty(state: CoreState, { spec, readyAt }: JobState, now: Now): boolean {
+  if (!spec.spot || !isIdleWork(state, spec)) return false;
+  const bound = state.rules.policy.startBound(spec);
+  if (now.wall - readyAt < bound) return true;
+  const rounds = (state.present.get(spec.jobClass) ?? 0) / Math.max(1, cheapSlots(state, spec));
+  return rounds * expectedRun(state, spec) < MOST_BOUNDS * bound;
+}
+
 /** Part of the bound on waiting after which room is rented for a job that nothing else hurries. */
 const RENTED_AFTER = 0.5;
 
--- a/src/core/capacity.ts
+++ b/src/core/capacity.ts
@@ -1,6 +1,6 @@
 /** Renting and giving back: how much, of what kind, and when. */
 import TinyQueue from 'tinyqueue';
-import { allowedWait, isIdleWork, latestStart } from './aims.js';
+import { allowedWait, isIdleWork, isThrifty, latestStart } from './aims.js';
 import type { Effect } from './effects.js';
 import { expectedEnd } from './fleet.js';
 import { expectedRun, isReady, waitingTasks } from './jobs.js';
@@ -378,8 +378,9 @@
   const { spec } = job;
   const run = spec.form === 'service' ? Infinity : expectedRun(state, spec);
   // Idle-time work fills what is there; machines are rented for it, but no dear ones.
-  const cheapOnly = spec.spot && isIdleWork(state, spec);
-  const kinds = kindsFor(state, spec, plan.scarce, choosy, now).filter(({ spot }) => spot || !cheapOnly);
+  const idle = spec.spot && isIdleWork(state, spec);
+  const cheapOnly = isThrifty(state, job, now);
+  const kinds = kindsFor(state, spec, plan.scarce, choosy, now).filter(({ spot }) => spot || !idle);
   const shape = shapeOf(job) ?? spec.id;
   const known = plan.open.get(shape) ?? { spec, choosy, open: openTo(plan, job, choosy) };
   plan.open.set(shape, known);
--- a/src/core/easy.ts
+++ b/src/core/easy.ts
@@ -3,7 +3,7 @@
  * its shadow time, and later tasks may start now if they end before it or fit the
  * extra room. Room is counted per machine and resource.
  */
-import { isHurried, isIdleWork, isPressed, losesBy, startBy } from './aims.js';
+import { isHurried, isIdleWork, isPressed, isThrifty, losesBy, startBy } from './aims.js';
 import { expectedEnd, isUsable } from './fleet.js';
 import { expectedRun, nextTask, waitingTasks } from './jobs.js';
 import { keepRoom } from './keeping.js';
@@ -33,6 +33,12 @@
  */
 const MOST_WEIGHED = 160;
 
+/**
+ * Of what could wait, a leader that is behind its timers places so many tasks a tick: an array of 20,000
+ * short ones took the processor that it needed to hear its workers, and 207 tasks lost their lease.
+ */
+const MOST_WHEN_BUSY = 8;
+
 /** Room is made for so many jobs at a tick; each looks at all that may be stopped. */
 const MOST_CLEARED = 4;
 
@@ -189,7 +195,8 @@
   readonly job: JobState;
   readonly run: number;
   readonly choosy: boolean;
-  /** Idle-time work: it holds no dear machine for longer than others do. */
+  /** It holds no dear machine for longer than others do. */
+  readonly thrifty: boolean;
   readonly idle: boolean;
   readonly startBy: number;
   /** It may use what is kept for hurried tasks. */
@@ -202,7 +209,8 @@
     job,
     run: expectedRun(state, job.spec),
     choosy: yields(pass, job),
-    idle: job.spec.spot && isIdleWork(state, job.spec) && !state.promised.includes(job),
+    thrifty: isThrifty(state, job, now) && !state.promised.includes(job),
+    idle: isIdleWork(state, job.spec),
     startBy: startBy(state, job, now),
     whole: isHurried(state, job.spec) || isPressed(state, job, now) || state.promised.includes(job),
   };
@@ -225,7 +233,7 @@
   if (avoids(job, machine.name) || !isUsable(state, machine, now)) return null;
   const fetch = fetchTime(machine, type, spec, now);
   const end = spec.form === 'service' ? Infinity : now.mono + fetch + run;
-  if (wish.idle && !machine.spot && end > site.busyUntil) return null;
+  if (wish.thrifty && !machine.spot && end > site.busyUntil) return null;
   for (const { job: owner, holds } of pass.held) {
     const hold = owner === job ? undefined : holds.get(site);
     // What gives way within moments, its progress saved, takes no room from who comes before it.
@@ -496,6 +504,7 @@
 
 /** One pass over the queue: starts what may start, and says what the head waits for. */
 export function place(state: CoreState, now: Now, timesMoved: boolean): void {
+  if (timesMoved) state.unhurried = state.busy ? MOST_WHEN_BUSY : Infinity;
   const changed = refreshSites(state, now, timesMoved);
   const queue = currentQueue(state, now);
   keepRoom(state, now, changed);
@@ -564,6 +573,7 @@
   let candidates: Candidates | null = null;
   while (waitingTasks(job) > 0) {
     if (!withinLimits(state, job, 1) || (isAtFault(job) && job.claims.size > 0)) return true;
+    if (!wish.whole && state.unhurried <= 0) return true;
     // Where one task lies decides on the zones of the others.
     if (candidates === null || zoned) candidates = new Candidates(pass, wish, zoneRule(state, job));
     const found = candidates.best();
@@ -571,6 +581,7 @@
     const { site, end } = found;
     occupy(pass, job, site, end);
     claim(site, end);
+    if (!wish.whole) state.unhurried -= 1;
     state.sites.settle(site);
     candidates.again(found);
   }
--- a/src/core/preempt.ts
+++ b/src/core/preempt.ts
@@ -51,15 +51,27 @@
     if (!over.has(team)) over.set(team, above);
     return (over.get(team) ?? 0) > EPSILON;
   };
+  // Of each class what came first, and is older than the bound, is let run to its end: with all of them
+  // stopped by turns, none had one.
+  const first = new Map<string, number>();
+  const isForemost = ({ spec, stamp, readyAt }: JobState): boolean =>
+    first.get(spec.jobClass) === stamp && now.wall - readyAt > state.rules.policy.startBound(spec);
+  for (const claims of state.out.values()) {
+    for (const { job: other } of claims) {
+      const { jobClass } = other.spec;
+      first.set(jobClass, Math.min(other.stamp, first.get(jobClass) ?? Infinity));
+    }
+  }
   const found = new Map<Machine, LiveClaim[]>();
   for (const [priority, claims] of state.out) {
+    // What needs a job may have raised its priority since, never lowered it.
     if (!guaranteed && priority <= job.priority) continue;
     for (const claim of claims) {
       const lower = claim.job.priority > job.priority;
       const borrowed = guaranteed && claim.job.spec.team !== job.spec.team && isOver(claim.job.spec.team);
       if (!(lower || borrowed) || state.guaranteed.has(claim.job) || !isStoppable(state, claim, now))
         continue;
-      if (!owed && (claim.owed || !isSpare(state, claim))) continue;
+      if (!owed && (claim.owed || isForemost(claim.job) || !isSpare(state, claim))) continue;
       const machine = state.machines.get(claim.machine);
       if (machine === undefined) continue;
       const known = found.get(machine);
--- a/src/core/promises.ts
+++ b/src/core/promises.ts
@@ -19,14 +19,6 @@
 export const unservedFor = (job: JobState, now: Now): number =>
   Math.min(now.wall - job.readyAt, now.mono - job.servedAt);
 
-/** How long a job may go unserved before it is promised room: to begin, and then for each further task. */
-function patienceOf(state: CoreState, { spec, servedAt }: JobState): number {
-  const bound = state.rules.policy.startBound(spec);
-  if (servedAt === -Infinity) return PROMISED_AFTER * bound;
-  // All of it is to begin within the bound, as far as one task every other report goes.
-  return Math.max(bound / spec.tasks, 2 * state.rules.timing.longestReport);
-}
-
 /**
  * Works out whose wait nears the bound, longest first. Of those of a class that have begun, only the one
  * that came first is promised more: six arrays served by turns ended all at once, and too late.
@@ -40,7 +32,7 @@
     const waited = unservedFor(job, now);
     if (job.servedAt > -Infinity && job.stamp < (first.get(jobClass)?.stamp ?? Infinity))
       first.set(jobClass, job);
-    if (waited > patienceOf(state, job)) due.push({ job, waited });
+    if (waited > PROMISED_AFTER * state.rules.policy.startBound(job.spec)) due.push({ job, waited });
   }
   due.sort((a, b) => b.waited - a.waited);
   state.promised = due
--- a/src/core/queue.ts
+++ b/src/core/queue.ts
@@ -5,17 +5,22 @@
 
 /** Where a job stands within its priority. */
 function standing(state: CoreState, job: JobState, now: Now): Standing {
-  const { lost } = aimsLost(state, job, now);
+  const { lost, all } = aimsLost(state, job, now);
   const run = expectedRun(state, job.spec);
   const slack = timeLeft(job, 1, now) - run;
   const rank = state.guaranteed.has(job) ? 0 : 1;
   // Pressed: it has to start within a run time from now to be in time.
-  if (lost === 0 && slack < run) return { job, rank, group: 0, key: waitingTasks(job) * run * job.spec.cpus };
-  return { job, rank, group: 1 + lost, key: job.stamp };
+  if (lost === 0 && slack < run)
+    return { job, rank, priority: job.priority, group: 0, key: waitingTasks(job) * run * job.spec.cpus };
+  // What can no longer be in time at all is idle-time work itself, in its arrival place among that: a
+  // backlog of late jobs kept a guest's arrays from room for 400 s, and gained nothing by it.
+  if (job.priority === 2 && all > 0 && lost === all)
+    return { job, rank, priority: 3, group: 1, key: job.stamp };
+  return { job, rank, priority: job.priority, group: 1 + lost, key: job.stamp };
 }
 
 const before = (a: Standing, b: Standing): number =>
-  a.rank - b.rank || a.job.priority - b.job.priority || a.group - b.group || a.key - b.key;
+  a.rank - b.rank || a.priority - b.priority || a.group - b.group || a.key - b.key;
 
 /**
  * Works out the order anew: higher priority first, then order of arrival (the order of the
--- a/src/core/state.ts
+++ b/src/core/state.ts
@@ -179,6 +179,7 @@
   readonly job: JobState;
   /** 0: within its team's guarantee. */
   readonly rank: number;
+  readonly priority: Priority;
   readonly group: number;
   readonly key: number;
 }
@@ -359,7 +360,11 @@
   recheck: readonly string[] | null;
   commitNotBefore: number;
   nextCommit: number;
+  /** Tasks that may be placed before the next tick though they could wait. */
+  unhurried: number;
   placeDirty: boolean;
+  /** Steady time of the latest pass over the queue. */
+  placedAt: number;
   planAt: number;
   rememberAt: number;
   head: Head | null;
@@ -469,7 +474,9 @@
     recheck: null,
     commitNotBefore: 0,
     nextCommit: 1,
+    unhurried: Infinity,
     placeDirty: false,
+    placedAt: 0,
     planAt: 0,
     rememberAt: 0,
     head: null,
--- a/src/core/step.ts
+++ b/src/core/step.ts
@@ -271,8 +271,11 @@
   // What the fleet has is known once every machine had the time to report: placing goes by each as
   // it comes, but a plan by half of them would rent the rest anew.
   const planning = placing && now.mono >= lead.since + state.rules.timing.longestReport;
-  if (placing && (state.placeDirty || ticked)) {
+  // One that is behind its timers goes through the queue only so often: each pass holds up reports.
+  const due = !state.busy || now.mono - state.placedAt >= state.rules.timing.tick / 2;
+  if (placing && (ticked || (state.placeDirty && due))) {
     state.placeDirty = false;
+    state.placedAt = now.mono;
     if (ticked) {
       chooseGuaranteed(state);
       choosePromised(state, now);
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -340,10 +340,19 @@
       const row = this.table.yields.find(({ holds }) => holds(peer, scene));
       if (row !== undefined) best.push({ peer, why: row.name });
     }
-    const worth = ({ peer: { view, node } }: { peer: Peer }): number =>
-      (view?.met ?? 0) + (view?.strays ?? 0) + (preferred.has(node) ? 1 : 0);
-    best.sort((a, b) => worth(b) - worth(a) || (a.peer.node < b.peer.node ? -1 : 1));
+    // All of them are fit. One that is not to lead, though it met one machine more, would hand over again.
+    const rank = ({ peer: { node } }: { peer: Peer }): number => (preferred.has(node) ? 1 : 0);
+    const reach = ({ peer: { view } }: { peer: Peer }): number => (view?.met ?? 0) + (view?.strays ?? 0);
+    best.sort((a, b) => rank(b) - rank(a) || reach(b) - reach(a) || (a.peer.node < b.peer.node ? -1 : 1));
     const first = best[0];
-    return first === undefined ? null : { to: first.peer.node, why: first.why };
+    if (first === undefined) return null;
+    // The first answer to a round of knocks came from one that would hand over again a moment later.
+    const awaited = (node: string): boolean =>
+      preferred.has(node) &&
+      this.isHeard(node, now) &&
+      this.#peers.get(node)?.view?.round !== this.knocks.round;
+    const early = now - this.knocks.at < this.timing.tick;
+    if (early && rank(first) === 0 && [...this.#peers.keys()].some(awaited)) return null;
+    return { to: first.peer.node, why: first.why };
   }
 }
--- a/test/faults.test.ts
+++ b/test/faults.test.ts
@@ -73,6 +73,20 @@
   expect(['req-1', 'req-2', 'req-3'].map((id) => floor.isAtFault(id))).toEqual([true, true, true]);
 });
 
+test('what a job was a witness to is taken back once it fails elsewhere too', () => {
+  const floor = new Floor(['m', 'n', 'o', 'p', 'q']);
+  const { state } = floor.bench;
+  const machine = (name: string) => state.machines.get(name);
+  floor.broken.add('req-1');
+  floor.add('req-1', 1, 8, 20);
+  floor.round();
+  floor.round();
+  const [first] = ['m', 'n', 'o', 'p', 'q'].filter((name) => machine(name)?.erredJobs.has('req-1') === true);
+  expect(first).toBeDefined();
+  for (let i = 0; i < 4; i += 1) floor.round();
+  expect(floor.names.filter((name) => machine(name)?.erredJobs.size !== 0)).toEqual([]);
+});
+
 test('a machine on which several jobs fail that complete elsewhere goes back', () => {
   const floor = new Floor(MACHINES);
   floor.faulty.add('o');
--- a/test/membership.test.ts
+++ b/test/membership.test.ts
@@ -264,3 +264,15 @@
   expect(worst).toBeGreaterThan(0);
   expect(worst).toBeLessThanOrEqual(TIMES.leaderLease + 2 * hop);
 });
+
+// Held back on the way, what a former life had to say would make the present one a witness, or a leader, again.
+test('a word of a life that another has followed counts for nothing, however often lives change', () => {
+  const scene = new Scene(TABLE);
+  const isPresent = (incarnation: string): boolean => scene.a.isPresentLife({ node: 'b', incarnation });
+  expect(isPresent('life-of-b')).toBe(true);
+  for (const incarnation of ['second', 'third', 'fourth']) scene.hear('b', { incarnation, leading: false });
+  expect(['life-of-b', 'second', 'third', 'fourth'].map(isPresent)).toEqual([false, false, false, true]);
+  const before = scene.a.viewOf('b');
+  scene.hear('b', { incarnation: 'second', term: 99 });
+  expect(scene.a.viewOf('b')).toBe(before);
+});
--- a/test/ready.test.ts
+++ b/test/ready.test.ts
@@ -28,3 +28,15 @@
   await world.clock.runUntil(18_000);
   expect(world.ready()).toEqual([true, true, true]);
 });
+
+// It stayed in the load balancer's list, and answered each user 503, while the others could have served them.
+test('a node that neither the state service nor a peer answers says that it is not ready', async () => {
+  const world = new World(seeded(3));
+  await world.clock.runUntil(10_000);
+  world.state.refuse('n-1', 8000);
+  for (const other of ['n-0', 'n-2']) world.network.cut('n-1', other, 8000);
+  await world.clock.runUntil(17_000);
+  expect(world.ready()).toEqual([true, false, true]);
+  await world.clock.runUntil(28_000);
+  expect(world.ready()).toEqual([true, true, true]);
+});
