--- a/build.mjs
+++ b/build.mjs
@@ -1,7 +1,7 @@
 // Bundles the program into one file, and has it compiled ahead: on a twelfth of a core, loading hundreds of
 // small modules would cost several seconds at every start, and compiling them one more.
 import { execFileSync } from 'node:child_process';
-import { readFileSync, rmSync } from 'node:fs';
+import { readFileSync, rmSync, writeFileSync } from 'node:fs';
 import { build } from 'esbuild';
 
 const { version } = JSON.parse(readFileSync('package.json', 'utf8'));
@@ -28,12 +28,35 @@
   banner: { js: '#!/usr/bin/env node' },
 });
 rmSync('target/program.cjs.code', { force: true });
+// A controller that reaches nobody: what it calls in its first second is kept compiled.
+const nobody = '127.0.0.1:9';
+const settings = {
+  host_name: 'build',
+  zone: 'a',
+  public_addr: '127.0.0.1:0',
+  peer_bind: '127.0.0.1:0',
+  others: [{ host_name: 'nobody', zone: 'a', peer_addr: nobody }],
+  endpoints: { cloud: nobody, state: nobody },
+  cluster: {
+    zones: ['a'],
+    teams: [],
+    workers: { report_s: 1, lease_s: 10, cancel_s: 30 },
+    state: { rps: 100, write_rps: 25, value_kb: 32, txn_ops: 20 },
+    cloud: { rps: 5, list_lag_s: 4 },
+    quota: { cpu: 1, ram_mb: 200, sockets: 500 },
+    clock_error_ms: 100,
+  },
+};
+writeFileSync('target/build.json', JSON.stringify(settings));
 // Compiled code counts only under the flags that it was compiled with.
 const [, flags = ''] = /^run = "node ((?:--\S+ )*)/m.exec(readFileSync('deploy/service.toml', 'utf8')) ?? [];
 execFileSync(
   process.execPath,
-  [...flags.split(' ').filter((flag) => flag !== ''), 'target/rowanferry.cjs', '--help'],
-  { env: { ...process.env, ROWANFERRY_KEEP_CODE: '1' }, stdio: ['ignore', 'ignore', 'inherit'] },
+  [
+    ...flags.split(' ').filter((flag) => flag !== ''),
+    ...['target/rowanferry.cjs', 'serve', '--settings', 'target/build.json'],
+  ],
+  { env: { ...process.env, LOG_LEVEL: 'error', ROWANFERRY_KEEP_CODE: '1500' }, stdio: 'ignore' },
 );
 for (const name of ['standins', 'demo']) {
   if (!process.argv.includes(`--${name}`)) continue;
--- a/src/launch.ts
+++ b/src/launch.ts
@@ -23,7 +23,11 @@
 const source = `(function (require, module, exports) {${readFileSync(filename, 'utf8')}\n})`;
 const cachedData = keptCode();
 const script = new Script(source, cachedData === undefined ? { filename } : { filename, cachedData });
-// Only the build sets it: what has been called by the end is kept along with the rest.
-if (process.env['ROWANFERRY_KEEP_CODE'] === '1')
-  process.on('exit', () => writeFileSync(kept, script.createCachedData()));
+// Only the build sets it, to milliseconds: what has been called by then is kept along with the rest.
+const keepAfter = Number(process.env['ROWANFERRY_KEEP_CODE'] ?? 0);
+if (keepAfter > 0)
+  setTimeout(() => {
+    writeFileSync(kept, script.createCachedData());
+    process.exit(0);
+  }, keepAfter);
 (script.runInThisContext() as Program)(require, module, exports);
