--- a/src/core/aims.ts
+++ b/src/core/aims.ts
@@ -25,7 +25,7 @@
 const MOST_BOUNDS = 2;
 
 /** Tasks of a kind that all cheap machines up now could hold at once. */
-function cheapSlots(state: CoreState, spec: JobSpec): number {
+export function cheapSlots(state: CoreState, spec: JobSpec): number {
   let slots = 0;
   for (const { type, zone, spot, size } of state.sites.groups) {
     if (!spot || !allows(spec, type.name, zone, spot) || !fits(spec, type)) continue;
--- a/src/core/preempt.ts
+++ b/src/core/preempt.ts
@@ -4,7 +4,7 @@
  * room is free on proof alone, as ever. Nothing is stopped that would end about as soon, and what was
  * stopped once gains a checkpoint's progress before it is stopped again.
  */
-import { hasDeadline } from './aims.js';
+import { cheapSlots, hasDeadline } from './aims.js';
 import { expectedEnd } from './fleet.js';
 import { fits, give, roomOf, sum, take } from './room.js';
 import type { Site } from './sites.js';
@@ -40,6 +40,30 @@
   return job.spec.checkpointS > 0 || (!hasDeadline(job) && !state.rules.aims.has(job.spec.jobClass));
 }
 
+/** Share of the cheap machines' room that a class's first job keeps while others' aims are in danger. */
+const KEPT_SHARE = 0.25;
+
+/**
+ * Of each class, tasks of the job that came first are let run to their end, those that began first, on a
+ * part of the room: with all of them stopped by turns, not one of six arrays was done.
+ */
+function keptOf(state: CoreState): Set<LiveClaim> {
+  const first = new Map<string, { readonly job: JobState; readonly left: number }>();
+  for (const claims of state.out.values()) {
+    for (const { job } of claims) {
+      const { jobClass } = job.spec;
+      if (job.stamp >= (first.get(jobClass)?.job.stamp ?? Infinity)) continue;
+      first.set(jobClass, { job, left: Math.floor(KEPT_SHARE * cheapSlots(state, job.spec)) });
+    }
+  }
+  const kept = new Set<LiveClaim>();
+  for (const { job, left } of first.values()) {
+    let more = left;
+    for (const claim of job.claims.values()) if (more-- > 0) kept.add(claim);
+  }
+  return kept;
+}
+
 /** Tasks that may be stopped for a job, by machine. */
 function victimsFor(state: CoreState, job: JobState, now: Now): Map<Machine, LiveClaim[]> {
   const guaranteed = state.guaranteed.has(job);
@@ -51,27 +75,18 @@
     if (!over.has(team)) over.set(team, above);
     return (over.get(team) ?? 0) > EPSILON;
   };
-  // Of each class what came first, and is older than the bound, is let run to its end: with all of them
-  // stopped by turns, none had one.
-  const first = new Map<string, number>();
-  const isForemost = ({ spec, stamp, readyAt }: JobState): boolean =>
-    first.get(spec.jobClass) === stamp && now.wall - readyAt > state.rules.policy.startBound(spec);
-  for (const claims of state.out.values()) {
-    for (const { job: other } of claims) {
-      const { jobClass } = other.spec;
-      first.set(jobClass, Math.min(other.stamp, first.get(jobClass) ?? Infinity));
-    }
-  }
   const found = new Map<Machine, LiveClaim[]>();
+  const lower = [...state.out].some(([priority, claims]) => priority > job.priority && claims.size > 0);
+  if (!guaranteed && !lower) return found;
+  const kept = keptOf(state);
   for (const [priority, claims] of state.out) {
     // What needs a job may have raised its priority since, never lowered it.
     if (!guaranteed && priority <= job.priority) continue;
     for (const claim of claims) {
-      const lower = claim.job.priority > job.priority;
+      const less = claim.job.priority > job.priority;
       const borrowed = guaranteed && claim.job.spec.team !== job.spec.team && isOver(claim.job.spec.team);
-      if (!(lower || borrowed) || state.guaranteed.has(claim.job) || !isStoppable(state, claim, now))
-        continue;
-      if (!owed && (claim.owed || isForemost(claim.job) || !isSpare(state, claim))) continue;
+      if (!(less || borrowed) || state.guaranteed.has(claim.job) || !isStoppable(state, claim, now)) continue;
+      if (!owed && (claim.owed || kept.has(claim) || !isSpare(state, claim))) continue;
       const machine = state.machines.get(claim.machine);
       if (machine === undefined) continue;
       const known = found.get(machine);
--- a/test/suspicion.test.ts
+++ b/test/suspicion.test.ts
@@ -209,3 +209,28 @@
   expect(pause).toBeLessThan(TIMES.leaderLease + 2 * TIMES.longestReport + 2000);
   await endsWell(world, 'two-crash');
 });
+
+// Its workers reach it, nobody else does: each second in which it keeps them is one in which nothing starts.
+test('a leader alone with its workers lets them go to its successor, which gives none of them back', async () => {
+  const { world, leader } = await atWork();
+  const alone = `n-${leader}`;
+  world.state.refuse(alone, 30_000);
+  for (const host of ['cloud', ...others(leader).map((node) => `n-${node}`)])
+    world.network.cut(alone, host, 30_000);
+  const pause = await pauseIn(world, FROM, FROM + 25_000);
+  expect(pause).toBeLessThan(TIMES.leaderLease + 1000 + 4 * TIMES.longestReport);
+  expect([changes(world), givenBack(world)]).toEqual([1, []]);
+  expect(world.leaders()).not.toContain(alone);
+  expect(world.ready()[leader]).toBe(false);
+  await endsWell(world, 'alone');
+});
+
+test('a leader that is back within a tenth of a second, again and again in the election, holds nothing up', async () => {
+  const { world, leader } = await atWork();
+  for (const at of [0, 150, 400, 900]) world.clock.in(at, () => world.crash(leader, 60));
+  world.clock.in(500, () => world.crash(others(leader)[0] as number, 60));
+  expect(await pauseIn(world, FROM, FROM + 15_000)).toBeLessThan(TIMES.leaderLease + 3 * TIMES.longestReport);
+  expect(world.leaders()).toHaveLength(1);
+  expect(givenBack(world)).toEqual([]);
+  await endsWell(world, 'back-at-once');
+});
