A claim on a machine of unknown zone counts for every zone; show says why a job waits

Change: such a claim counts for each zone, and a job whose tasks lie together waits until it is heard or given back. A guard test, which fails with the guard taken out. Jobs' answers carry why their tasks wait, told by the leader to the others.

--- a/src/adapters/users.ts
+++ b/src/adapters/users.ts
@@ -5,6 +5,7 @@
 import type { Condition, EndedRecord, JobSpec, MachineType, Write } from '../core/types.js';
 import { endedKey, jobBytes, jobKey } from '../core/records.js';
 import { encodeJobView, JOB_ID, parseSubmission, type JobView } from '../wire/users.js';
+import { REASONS } from '../core/promises.js';
 import { JobReads, type FoundJob } from './reads.js';
 import type { StateService } from './state.js';
 
@@ -42,7 +43,7 @@
   /** Whether a leader has freshly vouched that every cancellation has gone through its pipeline. */
   isSettled(): boolean;
   types(): ReadonlyMap<string, MachineType>;
-  counts(id: string): { readonly done: number; readonly running: number } | null;
+  counts(id: string): { readonly done: number; readonly running: number; readonly why: number } | null;
 }
 
 export class Users {
@@ -85,9 +86,9 @@
     if (found.kind === 'damaged') return { status: 200, body: encodeJobView({ id, stage: 'pending' }) };
     if (found.kind === 'ended') view = { id, stage: found.record.stage, done: found.record.done, running: 0 };
     else {
-      const counts = this.context.counts(id) ?? { done: 0, running: 0 };
-      view = { id, stage: counts.running > 0 ? 'running' : 'pending', ...counts };
-      const started = counts.running + counts.done > 0;
+      const { done, running, why } = this.context.counts(id) ?? { done: 0, running: 0, why: 0 };
+      view = { id, stage: running > 0 ? 'running' : 'pending', done, running, why: REASONS[why - 1] };
+      const started = running + done > 0;
       const awaits = started
         ? []
         : (found.spec.awaits ?? []).filter((other) => !this.#reads.knowsEnded(other));
--- a/src/controller/peering.ts
+++ b/src/controller/peering.ts
@@ -3,6 +3,7 @@
 import { stateAgeMs, type Common } from './common.js';
 import { FORMAT } from '../core/records.js';
 import { settledUntil } from '../core/pipelines.js';
+import { REASONS, whyWaits } from '../core/promises.js';
 import type { View } from '../membership/views.js';
 import type { JobCount, PeerStatus, QuietZone } from '../wire/peers.js';
 
@@ -56,10 +57,11 @@
     return new Map([...this.#quiet].filter(([, since]) => since > from));
   }
 
-  countOf(id: string): { done: number; running: number } | null {
+  countOf(id: string): Omit<JobCount, 'id'> | null {
     const job = this.common.owner.state.jobs.get(id);
     if (this.common.owner.state.leadership === null || job === undefined) return this.#counts.get(id) ?? null;
-    return { done: job.doneCount, running: job.running };
+    const why = whyWaits(this.common.owner.state, job);
+    return { done: job.doneCount, running: job.running, why: why === null ? 0 : REASONS.indexOf(why) + 1 };
   }
 
   term(): number {
@@ -76,7 +78,7 @@
         if (job.over !== null) continue;
         all &&= counts.length < MOST_COUNTS;
         if (!all) break;
-        counts.push({ id, ...(this.countOf(id) ?? { done: 0, running: 0 }) });
+        counts.push({ id, ...(this.countOf(id) ?? { done: 0, running: 0, why: 0 }) });
       }
     }
     return {
--- a/src/core/easy.ts
+++ b/src/core/easy.ts
@@ -47,15 +47,19 @@
   const { spec } = job;
   if (!spec.oneZone && !spec.spread) return () => true;
   const counts = new Map<string, number>();
+  // A machine known from a claim alone may be in any zone: a new leader put a third of four tasks into one.
+  let anywhere = 0;
   const count = (zone: string): void => {
-    counts.set(zone, (counts.get(zone) ?? 0) + 1);
+    if (zone === '') anywhere += 1;
+    else counts.set(zone, (counts.get(zone) ?? 0) + 1);
   };
   for (const claim of job.claims.values()) count(state.machines.get(claim.machine)?.zone ?? '');
   for (const site of placed) count(site.machine.zone);
   const most = Math.ceil(spec.tasks / 2);
   return (zone) => {
-    if (spec.oneZone && counts.size > 0 && !(counts.size === 1 && counts.has(zone))) return false;
-    return !spec.spread || (counts.get(zone) ?? 0) < most;
+    if (spec.oneZone && (anywhere > 0 || (counts.size > 0 && !(counts.size === 1 && counts.has(zone)))))
+      return false;
+    return !spec.spread || (counts.get(zone) ?? 0) + anywhere < most;
   };
 }
 
--- a/src/core/ledger.ts
+++ b/src/core/ledger.ts
@@ -38,6 +38,7 @@
     rank: null,
     exitsSince: 0,
     servedAt: -Infinity,
+    stoppedAt: -Infinity,
     queued: false,
     counted: false,
     done: new Uint8Array(Math.ceil(job.value.tasks / 8)),
--- a/src/core/preempt.ts
+++ b/src/core/preempt.ts
@@ -163,6 +163,7 @@
   for (const way of ways.slice(0, count)) {
     for (const claim of way.victims) {
       claim.unwanted = true;
+      claim.job.stoppedAt = now.mono;
       state.halting.add(claim);
       stopped += 1;
     }
--- a/src/core/promises.ts
+++ b/src/core/promises.ts
@@ -41,6 +41,25 @@
     .map(({ job }) => job);
 }
 
+/** Why tasks of a job wait, in the words that users are told; null: none does. */
+export const REASONS = [
+  'fails wherever it is tried',
+  'stopped for more urgent work',
+  'its room is reserved',
+  'first in the queue',
+  'waits for room',
+] as const;
+export type Reason = (typeof REASONS)[number];
+
+export function whyWaits(state: CoreState, job: JobState): Reason | null {
+  if (job.over !== null) return null;
+  if (isAtFault(job)) return 'fails wherever it is tried';
+  if (job.waiting === 0) return null;
+  if (state.promised.includes(job)) return 'its room is reserved';
+  if (state.head?.job === job.spec.id) return 'first in the queue';
+  return job.stoppedAt > job.servedAt ? 'stopped for more urgent work' : 'waits for room';
+}
+
 /**
  * Works out which jobs fit into their team's guarantee together with the team's earlier ones that are not
  * finished. Only teams that have a guarantee cost anything.
--- a/src/core/state.ts
+++ b/src/core/state.ts
@@ -153,6 +153,8 @@
   exitsSince: number;
   /** Steady time at which a task of it was last put on a machine; -Infinity: never. */
   servedAt: number;
+  /** Steady time at which a task of it was last stopped to make room; -Infinity: never. */
+  stoppedAt: number;
   /** It stands in the order of the queue. */
   queued: boolean;
   /** Its arrival, or becoming ready, has been counted in the demand. */
--- a/src/wire/peers.ts
+++ b/src/wire/peers.ts
@@ -6,6 +6,8 @@
   readonly id: string;
   readonly done: number;
   readonly running: number;
+  /** Why its tasks wait: one more than the place among the reasons; 0: none does, or nobody says. */
+  readonly why: number;
 }
 
 /** What a controller sees of the others, beside all else that it tells them. */
@@ -41,6 +43,7 @@
         id: { type: 'string', id: 1 },
         done: { type: 'uint32', id: 2 },
         running: { type: 'uint32', id: 3 },
+        why: { type: 'uint32', id: 4 },
       },
     },
     QuietZone: {
--- a/src/wire/users.ts
+++ b/src/wire/users.ts
@@ -100,6 +100,8 @@
   readonly stage: JobStage;
   readonly done?: number;
   readonly running?: number;
+  /** Why tasks of it wait for a machine, if a leader has said. */
+  readonly why?: string | undefined;
   /** Jobs that it waits for, as far as this node knows. */
   readonly awaits?: readonly string[];
 }
@@ -110,6 +112,7 @@
     stage: view.stage,
     ...(view.done === undefined ? {} : { done: view.done }),
     ...(view.running === undefined ? {} : { running: view.running }),
+    ...(view.why === undefined ? {} : { why: view.why }),
     ...(view.awaits === undefined || view.awaits.length === 0
       ? {}
       : { awaits: view.awaits.slice(0, MOST_TOLD), awaitsInAll: view.awaits.length }),
--- a/test/guards.test.ts
+++ b/test/guards.test.ts
@@ -440,3 +440,39 @@
   const writes = after.flatMap((effect) => (effect.kind === 'commit' ? effect.txn.apply : []));
   expect(writes).toContainEqual({ remove: 'run/req-1/00000' });
 });
+
+// It counted for no zone: the machine hung in zone a, and started its task beside two others there.
+test('zones: a claim on a machine that a new leader has not heard of may be in any zone', () => {
+  const lead = (spread: boolean): CoreBench => {
+    const bench = new CoreBench();
+    const claims = { 0: { attempt: 1, machine: 'hung', session: 1, madeAt: bench.now } };
+    const record = { team: 'crew', cpus: 1, gpus: 0, memoryGb: 1, done: '', attempts: {}, claims };
+    bench.do({
+      kind: 'lead',
+      term: TERM,
+      stamp: 100,
+      provenAt: bench.now,
+      layout: bench.state.layout,
+      wide: bench.state.wide,
+      memory: [],
+      jobs: [{ value: job('req-1', 4, 1, 50, { spread, oneZone: !spread }), stamp: 50 }],
+      chunks: [{ job: 'req-1', name: { index: 0, width: null }, record: { value: record, stamp: 60 } }],
+    });
+    bench.now += 2000;
+    for (const [name, zone] of [
+      ['m', 'a'],
+      ['n', 'b'],
+    ] as const)
+      bench.hear(report(name, 1, [], { zone }));
+    bench.do({ kind: 'tick' });
+    return bench;
+  };
+  const on = (bench: CoreBench): string[] =>
+    [...(bench.state.jobs.get('req-1')?.claims.values() ?? [])].map(({ machine }) => machine).sort();
+  expect(on(lead(true))).toEqual(['hung', 'm', 'n']);
+  expect(on(lead(false))).toEqual(['hung']);
+  const known = lead(true);
+  known.hear(report('hung', 1, [task('req-1/0', 1, 'running')], { zone: 'a' }));
+  known.do({ kind: 'tick' });
+  expect(on(known)).toEqual(['hung', 'm', 'n', 'n']);
+});
--- a/test/wire.test.ts
+++ b/test/wire.test.ts
@@ -11,7 +11,7 @@
   term: 7,
   leading: true,
   stateAgeMs: 12,
-  counts: [{ id: 'req-1', done: 3, running: 0 }],
+  counts: [{ id: 'req-1', done: 3, running: 0, why: 2 }],
   format: 2,
   settledAt: 12.5,
   quiet: [{ zone: 'b', ageMs: 1500 }],
