--- a/src/core/aims.ts
+++ b/src/core/aims.ts
@@ -22,7 +22,7 @@
   spec.priority === 3 && spec.deadlineS === null && !state.rules.aims.has(spec.jobClass);
 
 /** An idle-time class may take so many bounds on waiting if it had all cheap machines; beyond, dear ones serve too. */
-const MOST_BOUNDS = 3;
+const MOST_BOUNDS = 2.5;
 
 /** Tasks of a kind that all cheap machines up now could hold at once. */
 export function cheapSlots(state: CoreState, spec: JobSpec): number {
