--- a/test/faults.test.ts
+++ b/test/faults.test.ts
@@ -146,8 +146,10 @@
   floor.add('req-1', 4, 8, 20);
   for (let i = 0; i < 12; i += 1) floor.round();
   expect(floor.isAtFault('req-1')).toBe(true);
+  // The trace begins a little before its mistake is mended.
+  floor.bench.lines.splice(0, floor.bench.lines.length - 30);
   floor.broken.clear();
-  for (let i = 0; i < 40; i += 1) floor.round();
+  for (let i = 0; i < 40 && floor.bench.state.jobs.has('req-1'); i += 1) floor.round();
   expect(floor.bench.state.jobs.has('req-1')).toBe(false);
   await floor.bench.keep('mended-job');
 });
--- a/test/hearing.test.ts
+++ b/test/hearing.test.ts
@@ -137,5 +137,7 @@
     bench.now += 1000;
   }
   expect(gone).toContain('m');
+  // Its beginning and its end are enough to read.
+  bench.lines.splice(30, bench.lines.length - 60);
   await bench.keep('takeover-copies');
 });
