--- a/test/guards.test.ts
+++ b/test/guards.test.ts
@@ -1,6 +1,6 @@
 /** One test for each guard that docs/safety.md argues with; each fails when its guard is taken out. */
 import { expect, test } from 'vitest';
-import type { Transaction } from '../src/core/types.js';
+import type { JobSpec, Transaction } from '../src/core/types.js';
 import type { Command, Effect } from '../src/core/effects.js';
 import { VirtualClock } from './standins/clock.js';
 import { CoreBench, job, report, task, TERM } from './standins/core.js';
@@ -222,12 +222,14 @@
   expect(bench.do({ kind: 'tick' })).toContainEqual({ kind: 'return', machines: far.slice(1) });
 });
 
-test('machines that a new leader knows from claims alone are no zone of their own', () => {
-  // They had been withdrawn, stood in no list, and were waited for like a zone cut off.
+/** A new leader that knows its machines from the claims of one job alone, a task on each. */
+function ledOver(spec: JobSpec, machines: readonly string[]): CoreBench {
   const bench = new CoreBench();
-  const claim = (machine: string) => ({ attempt: 1, machine, session: 1, madeAt: bench.now });
-  const claims = { 0: claim('p'), 1: claim('q'), 2: claim('r') };
-  const record = { team: 'crew', cpus: 4, gpus: 0, memoryGb: 1, done: '', attempts: {}, claims };
+  const claims = Object.fromEntries(
+    machines.map((machine, i) => [i, { attempt: 1, machine, session: 1, madeAt: bench.now }]),
+  );
+  const { team, cpus, gpus, memoryGb } = spec;
+  const record = { team, cpus, gpus, memoryGb, done: '', attempts: {}, claims };
   bench.do({
     kind: 'lead',
     term: TERM,
@@ -236,9 +238,15 @@
     layout: bench.state.layout,
     wide: bench.state.wide,
     memory: [],
-    jobs: [{ value: job('req-1', 3, 4, 50), stamp: 50 }],
-    chunks: [{ job: 'req-1', name: { index: 0, width: null }, record: { value: record, stamp: 60 } }],
+    jobs: [{ value: spec, stamp: 50 }],
+    chunks: [{ job: spec.id, name: { index: 0, width: null }, record: { value: record, stamp: 60 } }],
   });
+  return bench;
+}
+
+test('machines that a new leader knows from claims alone are no zone of their own', () => {
+  // They had been withdrawn, stood in no list, and were waited for like a zone cut off.
+  const bench = ledOver(job('req-1', 3, 4, 50), ['p', 'q', 'r']);
   bench.now += bench.state.rules.timing.silence + 1000;
   expect(bench.do({ kind: 'tick' })).toContainEqual({ kind: 'return', machines: ['p', 'q', 'r'] });
 });
@@ -444,20 +452,7 @@
 // It counted for no zone: the machine hung in zone a, and started its task beside two others there.
 test('zones: a claim on a machine that a new leader has not heard of may be in any zone', () => {
   const lead = (spread: boolean): CoreBench => {
-    const bench = new CoreBench();
-    const claims = { 0: { attempt: 1, machine: 'hung', session: 1, madeAt: bench.now } };
-    const record = { team: 'crew', cpus: 1, gpus: 0, memoryGb: 1, done: '', attempts: {}, claims };
-    bench.do({
-      kind: 'lead',
-      term: TERM,
-      stamp: 100,
-      provenAt: bench.now,
-      layout: bench.state.layout,
-      wide: bench.state.wide,
-      memory: [],
-      jobs: [{ value: job('req-1', 4, 1, 50, { spread, oneZone: !spread }), stamp: 50 }],
-      chunks: [{ job: 'req-1', name: { index: 0, width: null }, record: { value: record, stamp: 60 } }],
-    });
+    const bench = ledOver(job('req-1', 4, 1, 50, { spread, oneZone: !spread }), ['hung']);
     bench.now += 2000;
     for (const [name, zone] of [
       ['m', 'a'],
