Promises by class; what was begun on one, or only just, is not stopped

Change: two promises for each class; a task begun on a promise is stopped for a guarantee alone, and any task runs an eighth of the bound before it is stopped.

--- a/src/core/preempt.ts
+++ b/src/core/preempt.ts
@@ -12,6 +12,8 @@
 import type { Need } from './types.js';
 
 const EPSILON = 1e-6;
+/** Part of the bound on waiting that a task runs at least before it is stopped for others. */
+const LEAST_RUN = 0.125;
 
 /** What a task loses by being stopped now, in milliseconds of its run. */
 export function lossOf({ job, runningSince, stage }: LiveClaim, now: Now): number {
@@ -30,6 +32,9 @@
   if (unwanted || job.over !== null || form === 'gang') return false;
   const { longestReport } = state.rules.timing;
   if (expectedEnd(state, claim, now) <= now.mono + saveS * 1000 + 2 * longestReport) return false;
+  // A start that is taken back at once is none to its user.
+  if (runningSince !== null && now.mono - runningSince < LEAST_RUN * state.rules.policy.startBound(job.spec))
+    return false;
   // What begins again and again gets nowhere.
   const gained = runningSince === null ? 0 : now.mono - runningSince;
   return attempt === 1 || gained > checkpointS * 1000 + longestReport;
@@ -86,7 +91,9 @@
       const less = claim.job.priority > job.priority;
       const borrowed = guaranteed && claim.job.spec.team !== job.spec.team && isOver(claim.job.spec.team);
       if (!(less || borrowed) || state.guaranteed.has(claim.job) || !isStoppable(state, claim, now)) continue;
-      if (!owed && (claim.owed || kept.has(claim) || !isSpare(state, claim))) continue;
+      // What was begun on a promise is not taken back for another promise.
+      if (claim.owed && !guaranteed) continue;
+      if (!owed && (kept.has(claim) || !isSpare(state, claim))) continue;
       const machine = state.machines.get(claim.machine);
       if (machine === undefined) continue;
       const known = found.get(machine);
--- a/src/core/promises.ts
+++ b/src/core/promises.ts
@@ -9,8 +9,8 @@
 import { isAtFault } from './room.js';
 import type { CoreState, JobState, Now } from './state.js';
 
-/** So many reservations at a time beside the head's; more would leave little for the order of the queue. */
-const MOST_PROMISED = 3;
+/** So many reservations at a time for a class beside the head's; more would leave little for the queue's order. */
+const MOST_PROMISED = 2;
 /** Share of the bound after which a job that has waited so long is promised its room. */
 const PROMISED_AFTER = 0.5;
 const EPSILON = 1e-6;
@@ -35,10 +35,16 @@
     if (waited > PROMISED_AFTER * state.rules.policy.startBound(job.spec)) due.push({ job, waited });
   }
   due.sort((a, b) => b.waited - a.waited);
-  state.promised = due
-    .filter(({ job }) => job.servedAt === -Infinity || first.get(job.spec.jobClass) === job)
-    .slice(0, MOST_PROMISED)
-    .map(({ job }) => job);
+  // By class: the backlog of one, waiting longest, kept another's arrays from beginning within the bound.
+  const promised = new Map<string, number>();
+  state.promised = due.flatMap(({ job }) => {
+    const { jobClass } = job.spec;
+    const count = promised.get(jobClass) ?? 0;
+    const counts = job.servedAt === -Infinity || first.get(jobClass) === job;
+    if (!counts || count >= MOST_PROMISED) return [];
+    promised.set(jobClass, count + 1);
+    return [job];
+  });
 }
 
 /** Why tasks of a job wait, in the words that users are told; null: none does. */
