--- a/test/standins/cloud.ts
+++ b/test/standins/cloud.ts
@@ -259,6 +259,8 @@
   /** The most machines there were at one time. */
   most = 0;
   troubleUntil = 0;
+  #lateShare = 0;
+  #lateUntil = 0;
 
   constructor(
     private readonly network: Network,
@@ -295,6 +297,12 @@
     return names;
   }
 
+  /** That share of rentals and returns gets no answer and is carried out seconds later. */
+  late(share: number, forMs: number): void {
+    this.#lateShare = share;
+    this.#lateUntil = this.network.clock.now + forMs;
+  }
+
   /** The machine and all that is on it are gone. */
   remove(name: string): void {
     this.#machines.delete(name);
@@ -327,12 +335,19 @@
       if (answer === null) await this.network.clock.sleep(1000);
       return answer;
     };
+    const change = async <T>(serve: () => T): Promise<T | null> => {
+      const { clock, draw } = this.network;
+      if (this.#lateUntil <= clock.now || draw() >= this.#lateShare) return ask(serve);
+      clock.in(2000 + 10_000 * draw(), () => void serve());
+      await clock.sleep(3000);
+      return null;
+    };
     return {
       catalog: () => ask(() => TYPES),
       machines: () => ask(() => this.list()),
-      rent: async (...wish) => (await ask(() => this.rent(...wish))) ?? 'unknown',
+      rent: async (...wish) => (await change(() => this.rent(...wish))) ?? 'unknown',
       giveBack: async (names) =>
-        (await ask(() => names.forEach((name) => this.remove(name)) ?? true)) ?? false,
+        (await change(() => names.forEach((name) => this.remove(name)) ?? true)) ?? false,
       isThere: async (address): Promise<boolean> => {
         const worker = [...this.workers.values()].find(({ listed }) => listed.address === address);
         if (worker === undefined) return false;
--- a/test/standins/state.ts
+++ b/test/standins/state.ts
@@ -28,6 +28,11 @@
   #level = 0;
   #levelAt = 0;
   readonly #refused = new Map<string, number>();
+  #slowMs = 0;
+  #slowUntil = 0;
+  #lateShare = 0;
+  #lateUntil = 0;
+  #onceWritten: { readonly prefix: string; readonly call: () => void }[] = [];
 
   constructor(readonly network: Network) {}
 
@@ -41,6 +46,32 @@
     this.#refused.set(node, this.network.clock.now + ms);
   }
 
+  /** Each answer takes up to so much longer. */
+  slow(ms: number, forMs: number): void {
+    this.#slowMs = ms;
+    this.#slowUntil = this.network.clock.now + forMs;
+  }
+
+  /** That share of transactions gets no answer and is carried out seconds later, after newer ones. */
+  late(share: number, forMs: number): void {
+    this.#lateShare = share;
+    this.#lateUntil = this.network.clock.now + forMs;
+  }
+
+  isLate(): boolean {
+    return this.#lateUntil > this.network.clock.now && this.network.draw() < this.#lateShare;
+  }
+
+  /** How long the service waits before it serves a request, and before it answers. */
+  lagMs(): number {
+    return this.#slowUntil > this.network.clock.now ? this.#slowMs * this.network.draw() : 0;
+  }
+
+  /** Calls back when a key with this prefix is next written. */
+  onceWritten(prefix: string, call: () => void): void {
+    this.#onceWritten.push({ prefix, call });
+  }
+
   isDown(node: string): boolean {
     return Math.max(this.#outageUntil, this.#refused.get(node) ?? 0) > this.network.clock.now;
   }
@@ -70,6 +101,12 @@
     const waiting = this.#waiting;
     this.#waiting = [];
     for (const wake of waiting) wake();
+    if (this.#onceWritten.length === 0) return;
+    const isOf = (prefix: string): boolean =>
+      writes.some((one) => 'put' in one && one.put.startsWith(prefix));
+    const due = this.#onceWritten.filter(({ prefix }) => isOf(prefix));
+    this.#onceWritten = this.#onceWritten.filter(({ prefix }) => !isOf(prefix));
+    for (const { call } of due) call();
   }
 
   /** Changes a second, with bursts of one second's worth; failing transactions count as well. */
@@ -202,7 +239,16 @@
       'state',
       this.timeoutMs + extraMs,
       (reply) => {
-        reply(this.service.isDown(this.node) ? 'down' : serve());
+        const { clock } = this.service.network;
+        const answer = (): void => {
+          const served = this.service.isDown(this.node) ? 'down' : serve();
+          const lag = this.service.lagMs();
+          if (lag > 0) clock.in(lag, () => reply(served));
+          else reply(served);
+        };
+        const lag = this.service.lagMs();
+        if (lag > 0) clock.in(lag, answer);
+        else answer();
       },
     );
     if (answer !== null && answer !== 'down') this.#contactAt = Math.max(this.#contactAt ?? sentAt, sentAt);
@@ -231,11 +277,25 @@
   }
 
   async commit(txn: Transaction): Promise<Commit> {
+    if (this.service.isLate()) return this.#commitLate(txn);
     const answer = await this.#ask(() => this.service.commit(txn));
     if (answer === null) return { kind: 'unknown' };
     return answer === 'down' ? { kind: 'refused' } : answer;
   }
 
+  async #commitLate(txn: Transaction): Promise<Commit> {
+    const { clock, draw } = this.service.network;
+    // Values cross the wire: what the caller makes of its own later changes nothing.
+    const sent = JSON.parse(JSON.stringify(txn)) as Transaction;
+    const carryOut = (): void => {
+      if (this.service.isDown(this.node)) clock.in(500, carryOut);
+      else this.service.commit(sent);
+    };
+    clock.in(2000 + 10_000 * draw(), carryOut);
+    await clock.sleep(this.timeoutMs);
+    return this.#alive({ kind: 'unknown' });
+  }
+
   async watch(prefix: string, after: number, waitMs: number): Promise<Watch> {
     const sentAt = this.clock.mono();
     const found = await this.service.network.ask<Watch>(
--- /dev/null
+++ b/test/standins/troubles.ts
@@ -0,0 +1,220 @@
+/**
+ * Troubles by name, and days on which two or three of them meet: the second begins within the first's
+ * effects, at a moment that matters, not merely on the same day.
+ */
+import type { SubmittedJob } from './checker.js';
+import { NODES, type World } from './world.js';
+
+/** Begins a trouble and says for how long, in milliseconds, it goes on. */
+type Trouble = (world: World) => number;
+
+/** As of the settings of the stand-ins' world. */
+const CANCEL = 30_000;
+const WORKER_LEASE = 10_000;
+const LEADER_LEASE = 2000;
+
+const pick = <T>(world: World, from: readonly T[]): T => from[Math.floor(world.draw() * from.length)] as T;
+
+/** The node that leads, or any. */
+const leaderOf = (world: World): string => pick(world, world.leaders()) ?? pick(world, NODES);
+const nodeAt = (name: string): number => NODES.indexOf(name);
+const between = (world: World, from: number, to: number): number => from + (to - from) * world.draw();
+
+/** Some of the machines, and at least one. */
+function someMachines(world: World, share: number): string[] {
+  const names = [...world.cloud.workers.keys()];
+  const some = names.filter(() => world.draw() < share);
+  return some.length > 0 || names.length === 0 ? some : [pick(world, names)];
+}
+
+function cutAll(world: World, from: string, to: readonly string[], ms: number): void {
+  for (const other of to) if (other !== from) world.network.cut(from, other, ms);
+}
+
+export const TROUBLES: Readonly<Record<string, Trouble>> = {
+  'state refuses the leader': (world) => {
+    const ms = between(world, 5000, CANCEL);
+    world.state.refuse(leaderOf(world), ms);
+    return ms;
+  },
+  'state refuses a node': (world) => {
+    const ms = between(world, 2000, CANCEL);
+    world.state.refuse(pick(world, NODES), ms);
+    return ms;
+  },
+  'state is down': (world) => {
+    const ms = between(world, 1000, 1.5 * CANCEL);
+    world.state.outage(ms);
+    return ms;
+  },
+  'state is slow': (world) => {
+    const ms = between(world, 5000, 25_000);
+    world.state.slow(between(world, 200, 3000), ms);
+    return ms;
+  },
+  'transactions are late': (world) => {
+    const ms = between(world, 5000, 30_000);
+    world.state.late(between(world, 0.2, 0.9), ms);
+    return ms;
+  },
+  'leader cut from state and peers': (world) => {
+    const ms = between(world, 5000, 60_000);
+    const leader = leaderOf(world);
+    cutAll(world, leader, [...NODES, 'state'], ms);
+    return ms;
+  },
+  'leader refused, peers gone': (world) => {
+    const ms = between(world, 5000, 45_000);
+    const leader = leaderOf(world);
+    world.state.refuse(leader, ms);
+    cutAll(world, leader, [...NODES, 'cloud'], ms);
+    return ms;
+  },
+  'leader ends': (world) => {
+    world.crash(nodeAt(leaderOf(world)), between(world, 20, 6000));
+    return 6000;
+  },
+  'leader ends, back within a second': (world) => {
+    world.crash(nodeAt(leaderOf(world)), between(world, 20, 1000));
+    return LEADER_LEASE;
+  },
+  'a node flaps': (world) => {
+    const node = nodeAt(pick(world, NODES));
+    for (let i = 0; i < 4; i += 1) world.clock.in(700 * i, () => world.crash(node, between(world, 20, 600)));
+    return 4000;
+  },
+  'all end, one returns first': (world) => {
+    const first = nodeAt(pick(world, NODES));
+    NODES.forEach((_, i) =>
+      world.crash(i, i === first ? between(world, 20, 1000) : between(world, 2000, 15_000)),
+    );
+    return 15_000;
+  },
+  'leader stands still': (world) => {
+    const ms = between(world, 500, 1.2 * WORKER_LEASE);
+    world.freeze(nodeAt(leaderOf(world)), ms);
+    return ms;
+  },
+  'leader is slow': (world) => {
+    const ms = between(world, 5000, 25_000);
+    const node = nodeAt(leaderOf(world));
+    world.slow(node, between(world, 100, 900));
+    world.clock.in(ms, () => world.slow(node, 0));
+    return ms;
+  },
+  'peers refused': (world) => {
+    const ms = between(world, 5000, 30_000);
+    world.refusePeers(ms);
+    return ms;
+  },
+  'zones part': (world) => {
+    const ms = between(world, 3000, 35_000);
+    const inB = (name: string): boolean => world.zoneOf(name) === 'b';
+    const hosts = [...NODES, ...world.cloud.workers.keys()];
+    for (const one of hosts.filter(inB))
+      for (const other of hosts) if (!inB(other)) world.network.cut(one, other, ms);
+    return ms;
+  },
+  'machines reach one node alone': (world) => {
+    const ms = between(world, 5000, 40_000);
+    const kept = world.draw() < 0.7 ? leaderOf(world) : pick(world, NODES);
+    for (const name of someMachines(world, 0.6))
+      for (const node of NODES) if (node !== kept) world.network.cut(name, node, ms);
+    return ms;
+  },
+  'machines out of reach': (world) => {
+    const ms = between(world, 3000, 25_000);
+    for (const name of someMachines(world, 0.4)) cutAll(world, name, NODES, ms);
+    return ms;
+  },
+  'machines hang': (world) => {
+    const ms = between(world, 0.3 * WORKER_LEASE, 1.6 * WORKER_LEASE);
+    for (const name of someMachines(world, 0.4)) {
+      const worker = world.cloud.workers.get(name);
+      if (worker !== undefined) worker.hungUntil = world.clock.now + ms;
+    }
+    return ms;
+  },
+  'machines deaf': (world) => {
+    const ms = between(world, 2000, 25_000);
+    for (const name of someMachines(world, 0.4)) world.network.deafen(name, ms);
+    return ms;
+  },
+  'a machine dies': (world) => {
+    for (const name of someMachines(world, 0.2)) world.cloud.remove(name);
+    return WORKER_LEASE;
+  },
+  'cloud is late': (world) => {
+    const ms = between(world, 5000, 25_000);
+    world.cloud.late(between(world, 0.3, 0.9), ms);
+    return ms;
+  },
+  'cloud is down': (world) => {
+    const ms = between(world, 3000, 20_000);
+    world.cloud.troubleUntil = world.clock.now + ms;
+    return ms;
+  },
+  'users cancel': (world) => {
+    world.cancelSome(0.5);
+    return CANCEL;
+  },
+};
+
+/** When the next trouble begins, once this one has: a moment that something hangs on. */
+const MOMENTS: readonly ((world: World, lasts: number, begin: () => void) => void)[] = [
+  (world, _, begin) => world.clock.in(between(world, 0, 2000), begin),
+  (world, lasts, begin) => world.clock.in(lasts * world.draw(), begin),
+  (world, lasts, begin) => world.clock.in(Math.max(0, lasts + between(world, -500, 500)), begin),
+  (world, _, begin) => world.clock.in(LEADER_LEASE + between(world, -500, 1000), begin),
+  (world, _, begin) => world.clock.in(WORKER_LEASE + between(world, -1500, 1500), begin),
+  (world, _, begin) => world.once('elected', () => world.clock.in(between(world, 0, 1500), begin)),
+  (world, _, begin) => world.once('leading', () => world.clock.in(between(world, 0, 300), begin)),
+  (world, _, begin) => world.state.onceWritten('run/', () => world.clock.in(between(world, 0, 20), begin)),
+  (world, _, begin) => world.state.onceWritten('ended/', () => world.clock.in(between(world, 0, 20), begin)),
+];
+
+/** Begins troubles one within another; while they last users cancel, now and then. */
+export function meet(world: World, names: readonly string[], met: (name: string) => void): void {
+  const [name, ...more] = names;
+  if (name === undefined) return;
+  met(name);
+  const lasts = TROUBLES[name]?.(world) ?? 0;
+  if (world.draw() < 0.5) world.clock.in(between(world, 0, 3000), () => world.cancelSome(0.2));
+  if (more.length > 0) pick(world, MOMENTS)(world, lasts, () => meet(world, more, met));
+}
+
+/** The latest that a trouble of a meeting day begins by itself, and how long its tasks run at most. */
+const LAST = 60_000;
+export const LONGEST_RUN = 70_000;
+
+/**
+ * A day on which troubles meet: jobs of a few tasks whose ends lie far apart, so that what is cancelled
+ * would run on, and some of many short ones.
+ */
+export function drawMeetings(world: World, meetings: number, met: (name: string) => void): void {
+  const { draw, clock, cloud } = world;
+  cloud.capacity = 10;
+  for (let i = 0; i < 14; i += 1) {
+    const id = `req-${String(i).padStart(6, '0')}`;
+    const long = draw() < 0.6;
+    const job: SubmittedJob = {
+      id,
+      jobClass: long ? 'long' : 'short',
+      team: 'crew',
+      tasks: long ? 1 + Math.floor(3 * draw()) : 1 + Math.floor(8 * draw()),
+      cpus: pick(world, [1, 2]),
+      memoryGb: 2,
+      spot: draw() < 0.7,
+      zone: draw() < 0.1 ? pick(world, ['a', 'b']) : null,
+      oneZone: draw() < 0.1,
+      spread: draw() < 0.15,
+    };
+    if (long) world.runs.set(id, [2000 + 0.3 * LONGEST_RUN * draw(), LONGEST_RUN * draw()]);
+    clock.in(LAST * draw() ** 1.5, () => void world.user(job, draw() < 0.15 ? 30_000 * draw() : null));
+  }
+  const names = Object.keys(TROUBLES);
+  for (let i = 0; i < meetings; i += 1) {
+    const some = Array.from({ length: draw() < 0.5 ? 2 : 3 }, () => pick(world, names));
+    clock.in(8000 + (LAST - 8000) * draw(), () => meet(world, some, met));
+  }
+}
--- a/test/standins/world.ts
+++ b/test/standins/world.ts
@@ -11,7 +11,7 @@
 import { Network, type Draw } from './network.js';
 import { EarlierStateClient, StateClient, StateStandin } from './state.js';
 
-const NODES = ['n-0', 'n-1', 'n-2'];
+export const NODES = ['n-0', 'n-1', 'n-2'];
 const ZONES = ['a', 'b', 'a'];
 
 /** Limits under which jobs of a few dozen tasks need several chunks, and small ones later. */
@@ -97,6 +97,11 @@
   readonly logged: Logged[] = [];
   /** Jobs submitted with a mistake. */
   readonly broken = new Set<string>();
+  /** How long the first task of a job runs, and each after it longer by; others by the draw. */
+  readonly runs = new Map<string, readonly [number, number]>();
+  /** Jobs whose users are to cancel them at once. */
+  readonly #toCancel = new Set<string>();
+  readonly #awaited = new Map<string, (() => void)[]>();
   readonly #lives = new Map<string, Life>();
   readonly #earlier = new Set<number>();
   #refusedUntil = 0;
@@ -123,7 +128,7 @@
       nodes: NODES,
       reportMs: 1000,
       leaseMs: 10_000,
-      runMs: () => 2000 + 6000 * this.draw(),
+      runMs: (job: string, task: number) => this.#runMs(job, task),
       isBroken: (job: string) => this.broken.has(job),
       copy: () => this.#copy(),
     };
@@ -135,6 +140,26 @@
     });
   }
 
+  #runMs(job: string, task: number): number {
+    const [first, more] = this.runs.get(job) ?? [2000 + 6000 * this.draw(), 0];
+    return first + (task === 0 ? 0 : more);
+  }
+
+  /** The zone of a controller or a machine. */
+  zoneOf(name: string): string | undefined {
+    return this.cloud.workers.get(name)?.listed.zone ?? ZONES[NODES.indexOf(name)];
+  }
+
+  /** Users of some of the accepted jobs cancel them as soon as they can. */
+  cancelSome(share: number): void {
+    for (const id of this.accepted) if (this.draw() < share) this.#toCancel.add(id);
+  }
+
+  /** Calls back when a controller next logs this. */
+  once(msg: string, call: () => void): void {
+    this.#awaited.set(msg, [...(this.#awaited.get(msg) ?? []), call]);
+  }
+
   #copy(): { afterMs: number; node: string | null } | null {
     if (this.options.copies !== true || this.draw() > 0.3) return null;
     const node = this.draw() < 0.5 ? null : (NODES[Math.floor(this.draw() * NODES.length)] ?? null);
@@ -227,8 +252,12 @@
 
   #write(node: string, line: string): void {
     if (process.env['TEST_LOG'] !== undefined) process.stdout.write(`${this.clock.now} ${node} ${line}`);
-    if (this.options.keepLog === true)
-      this.logged.push({ at: this.clock.now, node, ...(JSON.parse(line) as { msg: string }) });
+    if (this.options.keepLog !== true && this.#awaited.size === 0) return;
+    const entry = JSON.parse(line) as { msg: string };
+    if (this.options.keepLog === true) this.logged.push({ at: this.clock.now, node, ...entry });
+    const calls = this.#awaited.get(entry.msg) ?? [];
+    this.#awaited.delete(entry.msg);
+    for (const call of calls) call();
   }
 
   /** A controller computes so much slower that each of its timers fires so much later. */
@@ -341,6 +370,7 @@
     for (;;) {
       await this.clock.sleep(1000 + 2000 * this.draw());
       if (this.draw() < 0.1) await this.#request('submit', job.id, body);
+      if (this.#toCancel.delete(job.id)) cancelAt = Math.min(cancelAt, this.clock.now);
       if (this.clock.now >= cancelAt) {
         this.checker.cancelAsked(job.id);
         if ((await this.#request('withdraw', job.id, {})) !== null) cancelAt = Infinity;
