A cancellation is acted on while a write of its job is looked up; tests of the meetings

Cause: found by following what moves the authority window. When a chunk's write had no answer, its jobs were looked up; a removal that the watch told meanwhile was passed over, for the look-up would tell of it, and the next answer of the watch proved the view all the same. While the look-up went unanswered each later proof kept the cancelled tasks alive, and their job stayed in the list that deputies are told. Change: the job ends at once. A question about an ended job that is put off goes before those that came in meanwhile. test/meetings.test.ts brings about the gap (five ways) and the eight meetings; the stand-ins carry one chosen transaction out late, and jobs' estimates follow their runs.

--- a/src/adapters/reads.ts
+++ b/src/adapters/reads.ts
@@ -128,11 +128,12 @@
     }
     const none = await this.#absent([...gone.keys()].filter((id) => !seen.has(id)));
     let reads = 0;
-    await Promise.all(
+    const putOff: Question[] = [];
+    const answered = Promise.all(
       [...gone].map(async ([id, questions]) => {
         const record = this.#ended.get(id);
         if (record === undefined && !none.has(id) && ++reads > MOST_READ) {
-          this.#questions.push(...questions);
+          putOff.push(...questions);
           return;
         }
         const found: FoundJob =
@@ -145,6 +146,9 @@
         for (const { answer } of questions) answer(found);
       }),
     );
+    // Before those that came in meanwhile: under a storm of others they would be put off for ever.
+    this.#questions.unshift(...putOff);
+    await answered;
   }
 
   /** Brings the mirror up to the present; false: the state service does not answer. */
--- a/src/core/step.ts
+++ b/src/core/step.ts
@@ -36,11 +36,11 @@
 
 function removeJob(state: CoreState, id: string): void {
   const job = state.jobs.get(id);
-  // One that is being ended by us is settled by the answer to that.
+  // One that is being ended by us is settled by the answer to that. One of which a write is looked up is
+  // not waited for: while the look-up went unanswered, each later proof kept its tasks alive.
   const { ending = [], withdrawing = [] } = state.commit ?? {};
   const ours = [...ending, ...withdrawing].some(({ spec }) => spec.id === id);
-  const checked = state.recheck?.includes(id) ?? false;
-  if (job !== undefined && job.over === null && !ours && !checked) endJob(state, job, 'withdrawn', null);
+  if (job !== undefined && job.over === null && !ours) endJob(state, job, 'withdrawn', null);
 }
 
 function hasAuthority(state: CoreState, now: Now): boolean {
--- a/test/meetings.test.ts
+++ b/test/meetings.test.ts
@@ -1,15 +1,352 @@
 /** When two troubles meet: the users' list, and days on which any two or three of all troubles do. */
 import fc from 'fast-check';
 import { expect, test } from 'vitest';
-import { drawMeetings, LONGEST_RUN } from './standins/troubles.js';
-import { seeded, World } from './standins/world.js';
+import type { Effect } from '../src/core/effects.js';
+import { CoreBench, job, report, task, TERM } from './standins/core.js';
+import { drawMeetings, LONGEST_RUN, TROUBLES } from './standins/troubles.js';
+import { NODES, seeded, World } from './standins/world.js';
+
+/** The stand-ins' cancel_s and the lease of a worker, in milliseconds. */
+const CANCEL = 30_000;
+const LEASE = 10_000;
+const FROM = 20_000;
+
+interface AtWork {
+  readonly world: World;
+  readonly leader: number;
+  /** The other nodes. */
+  readonly others: readonly number[];
+  readonly ids: readonly string[];
+}
+
+/** Jobs of three tasks that run for long, all of them out, under one leader. */
+async function atWork(
+  seed = 3,
+  { jobs = 3, runs = [60_000, 30_000] as readonly [number, number], machines = 6, tasks = 3 } = {},
+): Promise<AtWork> {
+  const world = new World(seeded(seed), { keepLog: true });
+  world.cloud.capacity = machines;
+  const ids = Array.from({ length: jobs }, (_, i) => `req-${String(i).padStart(6, '0')}`);
+  const place = { team: 'crew', cpus: 2, memoryGb: 1, spot: true, zone: null, oneZone: false, spread: false };
+  for (const id of ids) {
+    world.runs.set(id, runs);
+    void world.user({ ...place, id, tasks }, null);
+  }
+  await world.clock.runUntil(FROM);
+  expect(world.checker.out()).toBe(jobs * tasks);
+  const leader = NODES.indexOf(world.leaders()[0] ?? '');
+  return { world, leader, others: [0, 1, 2].filter((node) => node !== leader), ids };
+}
+
+/** Machines whose reports, and their answers, pass between them and one node alone. */
+function reachOnly(world: World, node: string, ms: number): void {
+  for (const name of world.cloud.workers.keys())
+    for (const other of NODES) if (other !== node) world.network.cut(name, other, ms);
+}
+
+async function endsWell(world: World, ms = 250_000): Promise<void> {
+  await world.clock.runUntil(world.clock.now + ms);
+  expect(world.checker.broken).toEqual([]);
+  expect(world.checker.unfinished()).toEqual([]);
+}
+
+// The gap: the leader alone cannot know what another controller confirms; then nobody can tell it.
+test.each([
+  ['one follower', 0, 'none'],
+  ['the other follower', 1, 'none'],
+  ['one, and machines that reach the leader alone', 0, 'alone'],
+  ['one, and the leader ends in the outage and is back within a second', 1, 'back'],
+  ['one, and a deputy in the other zone that is refused as well', 0, 'deputy'],
+])('the gap: refused alone, cancellations confirmed by %s, then down for all', async (_, follower, more) => {
+  const { world, leader, others, ids } = await atWork();
+  const { clock, state, checker } = world;
+  const told: string[] = [];
+  const tell = (what: string): number => told.push(`${((clock.now - FROM) / 1000).toFixed(1)} s  ${what}`);
+  const outage = 2 * CANCEL;
+  const blind = NODES[leader] ?? '';
+  // In the other zone n-1 stands alone: it is the deputy, and the third controller confirms.
+  const deputy = more === 'deputy' ? NODES[1 - leader] : undefined;
+  const confirms = NODES[more === 'deputy' ? 2 : (others[follower] ?? 0)] ?? '';
+  state.refuse(blind, outage);
+  tell(`the state service refuses ${blind}, which leads`);
+  if (deputy !== undefined) state.refuse(deputy, outage);
+  if (deputy !== undefined) TROUBLES['zones part']?.(world);
+  if (more === 'alone') reachOnly(world, blind, outage);
+  await clock.runUntil(FROM + 100);
+  const [kept = '', ...cancelled] = ids;
+  for (const id of cancelled) expect(await world.until(world.withdraw(id, confirms))).toBe(true);
+  tell(`${confirms} has confirmed that ${cancelled.join(' and ')} are cancelled`);
+  const confirmedAt = clock.now;
+  state.outage(outage);
+  tell('the state service is down for all');
+  const out = (): number => cancelled.reduce((sum, id) => sum + checker.out(id), 0);
+  // The test would show nothing if somebody had stopped them in time to know.
+  expect(out()).toBe(6);
+  if (more === 'back') clock.in(4000, () => world.crash(leader, 700));
+  let before = -1;
+  for (let at = 0; at < CANCEL; at += 500) {
+    await clock.runUntil(confirmedAt + at);
+    if (out() !== before)
+      tell(`${out()} of their tasks are on machines, ${checker.out(kept)} of another job`);
+    before = out();
+    // Answered for as long as may be: what is not cancelled is not lost to a short outage.
+    if (at === LEASE && more === 'none') expect(out()).toBeGreaterThan(0);
+  }
+  expect(out()).toBe(0);
+  if (follower === 0 && more === 'none')
+    await expect(`${told.join('\n')}\n`).toMatchFileSnapshot('traces/gap.txt');
+  await endsWell(world, 400_000);
+});
+
+test('the gap: a cancellation told while a write of its job is looked up stops its tasks at once', () => {
+  const bench = new CoreBench();
+  const commitOf = (effects: readonly Effect[]): number =>
+    effects.flatMap((effect) => (effect.kind === 'commit' ? [effect.id] : []))[0] ?? 0;
+  bench.hear(report('m', 1));
+  bench.add(job('req-1', 2, 4, 50));
+  const running = [task('req-1/0', 1, 'running'), task('req-1/1', 1, 'running')] as const;
+  bench.hear(report('m', 2));
+  bench.hear(report('m', 3, running));
+  // One of two tasks has ended; the write of it gets no answer, and nor does the look for what came of it.
+  const ended = [task('req-1/0', 1, 'exited', 'done'), running[1]] as const;
+  bench.hear(report('m', 4, ended));
+  bench.now += bench.state.rules.timing.exitHold;
+  const id = commitOf(bench.raw({ kind: 'tick' }));
+  bench.raw({ kind: 'committed', id, outcome: { kind: 'unknown' } });
+  bench.raw({ kind: 'rechecked', found: null });
+  // The watch is answered: its user was told that the job is cancelled, and the view is proven anew.
+  bench.raw({ kind: 'jobRemoved', id: 'req-1' }, { kind: 'proof', sentAt: bench.now });
+  const told = bench.raw({ kind: 'report', reply: 70, report: report('m', 5, ended) });
+  expect(told).toContainEqual(
+    expect.objectContaining({
+      body: expect.objectContaining({
+        commands: expect.arrayContaining([
+          { op: 'stop', job: 'req-1', task: 1, attempt: 1, graceS: 0 },
+        ]) as unknown,
+      }) as unknown,
+    }),
+  );
+});
+
+// 1. A transaction without an answer is carried out late, after newer ones.
+test('late transactions: a withdrawal carried out after the job was called done changes nothing', async () => {
+  const { world, others, ids } = await atWork(3, { jobs: 1, runs: [24_000, 0] });
+  const [id = ''] = ids;
+  const at = NODES[others[0] ?? 0] ?? '';
+  await world.clock.runUntil(FROM + 2000);
+  world.state.lateOnce(
+    ({ apply }) => apply.some((write) => 'put' in write && write.put === `ended/${id}`),
+    20_000,
+  );
+  expect(await world.until(world.withdraw(id, at))).toBe(false);
+  await world.clock.runUntil(FROM + 18_000);
+  for (const node of NODES) expect(await world.until(world.ask(id, node))).toBe('done');
+  await world.clock.runUntil(FROM + 40_000);
+  for (const node of NODES) expect(await world.until(world.ask(id, node))).toBe('done');
+  await endsWell(world);
+});
+
+test('late transactions: claims carried out after newer ones of the same chunk, then a new leader', async () => {
+  const world = new World(seeded(4), { keepLog: true });
+  const id = 'req-000000';
+  // A task fills a machine, and machines come one after another.
+  const place = { team: 'crew', cpus: 8, memoryGb: 1, spot: true, zone: null, oneZone: false, spread: false };
+  world.cloud.capacity = 4;
+  world.runs.set(id, [90_000, 0]);
+  const claims: number[] = [];
+  const commit = world.state.commit.bind(world.state);
+  world.state.commit = (txn) => {
+    const outcome = commit(txn);
+    if (
+      outcome.kind === 'applied' &&
+      txn.apply.some((write) => 'put' in write && write.put.startsWith('run/'))
+    )
+      claims.push(world.clock.now);
+    return outcome;
+  };
+  const late = 9000;
+  let sentAt = Infinity;
+  world.state.lateOnce(({ apply }) => {
+    const isOne = apply.some((write) => 'put' in write && write.put.startsWith('run/'));
+    if (isOne) sentAt = world.clock.now;
+    return isOne;
+  }, late);
+  void world.user({ ...place, id, tasks: 4 }, null);
+  while (sentAt === Infinity) await world.clock.runUntil(world.clock.now + 100);
+  await world.clock.runUntil(sentAt + late - 100);
+  // Newer ones of the same chunk have been written, and tasks started by them.
+  expect(claims.length).toBeGreaterThan(0);
+  expect(world.checker.out(id)).toBe(4);
+  await world.clock.runUntil(sentAt + late + 50);
+  world.crash(NODES.indexOf(world.leaders()[0] ?? ''), 3000);
+  await endsWell(world, 300_000);
+  expect(world.checker.started).toBe(4);
+});
+
+// 2. Jobs of two or three tasks end far apart across a change of leader.
+test('ends far apart: each end known to one leader alone, `done` neither early nor lost nor counted twice', async () => {
+  const { world, ids } = await atWork(3, { jobs: 2, runs: [22_000, 14_000] });
+  const { clock, checker } = world;
+  const started = checker.started;
+  // The first tasks end; their leader ends before it has written that down, and so does the next.
+  for (let i = 0; i < 2; i += 1) {
+    const before = checker.out();
+    while (checker.out() === before) await clock.runUntil(clock.now + 50);
+    // Long enough for its leader to hear of it, too short for that to be written.
+    await clock.runUntil(clock.now + 1300);
+    for (const id of ids) if (checker.out(id) > 0) expect(await world.until(world.ask(id))).not.toBe('done');
+    world.crash(NODES.indexOf(world.leaders()[0] ?? ''), 5000);
+    await clock.runUntil(clock.now + 4000);
+  }
+  await endsWell(world);
+  expect(checker.started).toBe(started);
+});
+
+// 3. An old report arrives after newer ones.
+test('old reports: a successor that has heard nothing takes no end of an earlier attempt for the present one', () => {
+  const bench = new CoreBench();
+  const claims = { 0: { attempt: 2, machine: 'm', session: 3, madeAt: bench.now } };
+  const record = { team: 'crew', cpus: 4, gpus: 0, memoryGb: 1, done: '', attempts: {}, claims };
+  const spec = job('req-1', 1, 4, 50);
+  bench.do({
+    kind: 'lead',
+    term: TERM,
+    stamp: 100,
+    provenAt: bench.now,
+    layout: bench.state.layout,
+    wide: bench.state.wide,
+    memory: [],
+    jobs: [{ value: spec, stamp: 50 }],
+    chunks: [{ job: 'req-1', name: { index: 0, width: null }, record: { value: record, stamp: 60 } }],
+  });
+  bench.now += 3000;
+  bench.hear(report('n', 1));
+  const claim = (): unknown => [...(bench.state.jobs.get('req-1')?.claims.values() ?? [])];
+  const held = [expect.objectContaining({ machine: 'm', attempt: 2 })];
+  // Of an earlier attempt, of an earlier session, in the wrong order, with the token of the leader before.
+  const old = (seq: number, session: number, exit: 'stopped' | 'error'): Effect[] =>
+    bench.hear(report('m', seq, [task('req-1/0', 1, 'exited', exit)], { session, token: TERM - 1 }));
+  old(40, 3, 'stopped');
+  expect(claim()).toEqual(held);
+  old(90, 2, 'error');
+  old(12, 3, 'error');
+  bench.hear(report('m', 30, [], { session: 3, token: TERM - 1 }));
+  expect(claim()).toEqual(held);
+  expect(bench.state.machines.get('m')).toMatchObject({ session: 3, seq: 40 });
+});
+
+// 4. A leader is cut from the state service and its peers; workers and users still reach it.
+test('a leader cut off with its workers and users: cancelled elsewhere, gone in time, no older answer', async () => {
+  const { world, leader, others, ids } = await atWork();
+  const { clock, checker } = world;
+  const alone = NODES[leader] ?? '';
+  const cut = 70_000;
+  for (const host of [...others.map((node) => NODES[node] ?? ''), 'state', 'cloud'])
+    world.network.cut(alone, host, cut);
+  reachOnly(world, alone, cut);
+  await clock.runUntil(FROM + 6000);
+  const [next = ''] = world.leaders().filter((node) => node !== alone);
+  expect(next).not.toBe('');
+  for (const id of ids) expect(await world.until(world.withdraw(id, next))).toBe(true);
+  expect(checker.out()).toBe(9);
+  const from = clock.now;
+  const answers: (string | null)[] = [];
+  while (clock.now < from + CANCEL) {
+    await clock.runUntil(clock.now + 1000);
+    for (const id of ids) answers.push(await world.until(world.ask(id, alone)));
+  }
+  expect(answers.filter((stage) => stage !== null)).toEqual([]);
+  expect(world.ready()[leader]).toBe(false);
+  expect(checker.out()).toBe(0);
+  await endsWell(world);
+});
+
+// 5. A command or its answer is held up for seconds, and the machine then goes on.
+test.each([
+  ['within its lease', 0.7 * LEASE],
+  ['across its lease', 1.2 * LEASE],
+])('a machine that hangs %s, its leader gone meanwhile: nothing runs twice', async (_, hangs) => {
+  const { world, leader } = await atWork();
+  const { clock, cloud, checker } = world;
+  const [name = ''] = cloud.workers.keys();
+  const worker = cloud.workers.get(name);
+  if (worker !== undefined) worker.hungUntil = clock.now + hangs;
+  const attempts = new Map(
+    [...(worker?.tasks.values() ?? [])].map(({ job: id, task: n, take }) => [`${id}/${n}`, take]),
+  );
+  expect(attempts.size).toBeGreaterThan(0);
+  await clock.runUntil(FROM + 1000);
+  world.crash(leader, 20_000);
+  await clock.runUntil(FROM + hangs + 1000);
+  const back = [...(cloud.workers.get(name)?.tasks.values() ?? [])];
+  // Back within its lease it goes on with what it had, and nobody has it anew.
+  if (hangs < LEASE && cloud.workers.has(name)) expect(back.length).toBe(attempts.size);
+  for (const { job: id, task: n, take } of back)
+    expect(take).toBeGreaterThanOrEqual(attempts.get(`${id}/${n}`) ?? 1);
+  await endsWell(world);
+  expect(checker.out()).toBe(0);
+});
+
+// 6. Leaders end while machines with long tasks cannot be reached.
+test('machines out of reach through three leaders: their claims outlive them all, nothing is started anew', async () => {
+  const { world } = await atWork();
+  const { clock, cloud, checker } = world;
+  const started = checker.started;
+  const away = 0.85 * LEASE;
+  for (const name of cloud.workers.keys()) for (const node of NODES) world.network.cut(name, node, away);
+  for (let i = 0; i < 3; i += 1) {
+    await clock.runUntil(clock.now + 2200);
+    world.crash(NODES.indexOf(world.leaders()[0] ?? ''), 4000);
+  }
+  await clock.runUntil(FROM + LEASE + 4000);
+  expect(checker.out()).toBe(9);
+  await endsWell(world);
+  expect(checker.started).toBe(started);
+});
+
+// 7. The state service answers slowly, or refuses the leader and then everybody, while users cancel and ask.
+test('a slow state service, withdrawals of unknown outcome: no older answer, and answers come back', async () => {
+  const { world, ids } = await atWork();
+  const { clock, state } = world;
+  state.slow(3500, 25_000);
+  const until = FROM + 25_000;
+  while (clock.now < until) {
+    for (const id of ids.slice(1)) void world.withdraw(id, NODES[Math.floor(3 * world.draw())] ?? '');
+    for (const id of ids) for (const node of NODES) void world.ask(id, node);
+    await clock.runUntil(clock.now + 1500);
+  }
+  await clock.runUntil(until + 10_000);
+  for (const node of NODES) {
+    expect(await world.until(world.ask(ids[0] ?? '', node))).toBe('running');
+    for (const id of ids.slice(1)) expect(await world.until(world.ask(id, node))).toBe('withdrawn');
+  }
+  await endsWell(world);
+});
+
+// 8. Controllers hand over and back, all end, and one returns, also within a second.
+test.each([100, 900, 5000])(
+  'all end, one returns alone after %d ms and serves; its tasks go on',
+  async (after) => {
+    const { world, ids } = await atWork();
+    const { clock, checker } = world;
+    const started = checker.started;
+    for (const node of [0, 1, 2]) world.crash(node, node === 1 ? after : 40_000);
+    await clock.runUntil(FROM + after + 6000);
+    expect(world.leaders()).toEqual(['n-1']);
+    expect(world.ready()[1]).toBe(true);
+    for (const id of ids) expect(await world.until(world.ask(id, 'n-1'))).toBe('running');
+    expect(checker.out()).toBe(9);
+    await endsWell(world);
+    expect(checker.started).toBe(started);
+  },
+);
 
 /** The last trouble of a meeting day is over by then; after it all that was accepted ends. */
 const CALM = 240_000;
 const END = CALM + 3 * LONGEST_RUN;
 
 async function playMeetings(seed: number, meetings: number): Promise<{ world: World; met: string[] }> {
-  const world = new World(seeded(seed), { copies: true });
+  const world = new World(seeded(seed), { copies: true, cpusMax: seed % 2 === 0 ? 0 : 12 });
   const met: string[] = [];
   drawMeetings(world, meetings, (name) => met.push(`${(world.clock.now / 1000).toFixed(1)} ${name}`));
   await world.clock.runUntil(END);
--- a/test/standins/checker.ts
+++ b/test/standins/checker.ts
@@ -199,6 +199,11 @@
     this.#checkCancelled(job, task, now);
   }
 
+  /** How many tasks, of one job or of all, are on machines. */
+  out(job?: string): number {
+    return this.#on.filter((on) => job === undefined || on.job === job).length;
+  }
+
   /** To be called now and then: what should be gone by now, and is not. */
   look(now: number): void {
     for (const { job, task } of this.#on) this.#checkCancelled(job, task, now);
--- a/test/standins/state.ts
+++ b/test/standins/state.ts
@@ -32,6 +32,8 @@
   #slowUntil = 0;
   #lateShare = 0;
   #lateUntil = 0;
+  readonly #lateOnce: { readonly isOne: (txn: Transaction) => boolean; readonly afterMs: number }[] = [];
+  #onceLate: (() => void)[] = [];
   #onceWritten: { readonly prefix: string; readonly call: () => void }[] = [];
 
   constructor(readonly network: Network) {}
@@ -58,8 +60,28 @@
     this.#lateUntil = this.network.clock.now + forMs;
   }
 
-  isLate(): boolean {
-    return this.#lateUntil > this.network.clock.now && this.network.draw() < this.#lateShare;
+  /** The next transaction that this holds for gets no answer and is carried out so much later. */
+  lateOnce(isOne: (txn: Transaction) => boolean, afterMs: number): void {
+    this.#lateOnce.push({ isOne, afterMs });
+  }
+
+  /** How much later a transaction is carried out, without an answer; null: it is served at once. */
+  lateBy(txn: Transaction): number | null {
+    const at = this.#lateOnce.findIndex(({ isOne }) => isOne(txn));
+    const [once] = at < 0 ? [] : this.#lateOnce.splice(at, 1);
+    if (once !== undefined) return once.afterMs;
+    const { clock, draw } = this.network;
+    return this.#lateUntil > clock.now && draw() < this.#lateShare ? 2000 + 10_000 * draw() : null;
+  }
+
+  /** Calls back when the next of them has been carried out, if it still could be. */
+  onceLate(call: () => void): void {
+    this.#onceLate.push(call);
+  }
+
+  carryOutLate(txn: Transaction): void {
+    if (this.commit(txn).kind !== 'applied') return;
+    for (const call of this.#onceLate.splice(0)) call();
   }
 
   /** How long the service waits before it serves a request, and before it answers. */
@@ -277,21 +299,22 @@
   }
 
   async commit(txn: Transaction): Promise<Commit> {
-    if (this.service.isLate()) return this.#commitLate(txn);
+    const lateBy = this.service.lateBy(txn);
+    if (lateBy !== null) return this.#commitLate(txn, lateBy);
     const answer = await this.#ask(() => this.service.commit(txn));
     if (answer === null) return { kind: 'unknown' };
     return answer === 'down' ? { kind: 'refused' } : answer;
   }
 
-  async #commitLate(txn: Transaction): Promise<Commit> {
-    const { clock, draw } = this.service.network;
+  async #commitLate(txn: Transaction, afterMs: number): Promise<Commit> {
+    const { clock } = this.service.network;
     // Values cross the wire: what the caller makes of its own later changes nothing.
     const sent = JSON.parse(JSON.stringify(txn)) as Transaction;
     const carryOut = (): void => {
       if (this.service.isDown(this.node)) clock.in(500, carryOut);
-      else this.service.commit(sent);
+      else this.service.carryOutLate(sent);
     };
-    clock.in(2000 + 10_000 * draw(), carryOut);
+    clock.in(afterMs, carryOut);
     await clock.sleep(this.timeoutMs);
     return this.#alive({ kind: 'unknown' });
   }
--- a/test/standins/troubles.ts
+++ b/test/standins/troubles.ts
@@ -37,6 +37,15 @@
     world.state.refuse(leaderOf(world), ms);
     return ms;
   },
+  // The users' gap: refused alone, it goes on answering workers, while others confirm what it cannot know.
+  'state refuses the leader, then all': (world) => {
+    const after = between(world, 300, LEADER_LEASE + 500);
+    const ms = between(world, 0.9 * CANCEL, 1.8 * CANCEL);
+    world.state.refuse(leaderOf(world), after + ms);
+    for (let i = 0; i < 3; i += 1) world.clock.in(after * world.draw(), () => world.cancelSome(0.4));
+    world.clock.in(after, () => world.state.outage(ms));
+    return after + ms;
+  },
   'state refuses a node': (world) => {
     const ms = between(world, 2000, CANCEL);
     world.state.refuse(pick(world, NODES), ms);
@@ -160,6 +169,24 @@
   },
 };
 
+/** What the users have told of; each is followed by any other. */
+const TOLD_OF: readonly (readonly string[])[] = [
+  ['transactions are late', 'leader ends'],
+  ['transactions are late', 'users cancel'],
+  ['transactions are late', 'transactions are late', 'leader ends, back within a second'],
+  ['leader cut from state and peers', 'users cancel'],
+  ['machines hang', 'leader ends'],
+  ['machines out of reach', 'leader ends'],
+  ['leader ends', 'machines deaf'],
+  ['state is slow', 'users cancel'],
+  ['state refuses the leader, then all'],
+  ['state refuses the leader, then all', 'leader ends, back within a second'],
+  ['zones part', 'state refuses the leader, then all'],
+  ['machines reach one node alone', 'state refuses the leader, then all'],
+  ['all end, one returns first', 'a node flaps'],
+  ['leader is slow', 'all end, one returns first'],
+];
+
 /** When the next trouble begins, once this one has: a moment that something hangs on. */
 const MOMENTS: readonly ((world: World, lasts: number, begin: () => void) => void)[] = [
   (world, _, begin) => world.clock.in(between(world, 0, 2000), begin),
@@ -170,6 +197,7 @@
   (world, _, begin) => world.once('elected', () => world.clock.in(between(world, 0, 1500), begin)),
   (world, _, begin) => world.once('leading', () => world.clock.in(between(world, 0, 300), begin)),
   (world, _, begin) => world.state.onceWritten('run/', () => world.clock.in(between(world, 0, 20), begin)),
+  (world, _, begin) => world.state.onceLate(() => world.clock.in(between(world, 0, 300), begin)),
   (world, _, begin) => world.state.onceWritten('ended/', () => world.clock.in(between(world, 0, 20), begin)),
 ];
 
@@ -213,8 +241,9 @@
     clock.in(LAST * draw() ** 1.5, () => void world.user(job, draw() < 0.15 ? 30_000 * draw() : null));
   }
   const names = Object.keys(TROUBLES);
+  const draws = (): string[] => Array.from({ length: draw() < 0.5 ? 2 : 3 }, () => pick(world, names));
   for (let i = 0; i < meetings; i += 1) {
-    const some = Array.from({ length: draw() < 0.5 ? 2 : 3 }, () => pick(world, names));
+    const some = draw() < 0.5 ? [...pick(world, TOLD_OF), pick(world, names)] : draws();
     clock.in(8000 + (LAST - 8000) * draw(), () => meet(world, some, met));
   }
 }
--- a/test/standins/world.ts
+++ b/test/standins/world.ts
@@ -99,8 +99,7 @@
   readonly broken = new Set<string>();
   /** How long the first task of a job runs, and each after it longer by; others by the draw. */
   readonly runs = new Map<string, readonly [number, number]>();
-  /** Jobs whose users are to cancel them at once. */
-  readonly #toCancel = new Set<string>();
+  readonly #cancelling = new Set<string>();
   readonly #awaited = new Map<string, (() => void)[]>();
   readonly #lives = new Map<string, Life>();
   readonly #earlier = new Set<number>();
@@ -150,9 +149,16 @@
     return this.cloud.workers.get(name)?.listed.zone ?? ZONES[NODES.indexOf(name)];
   }
 
-  /** Users of some of the accepted jobs cancel them as soon as they can. */
+  /** Users of some of the accepted jobs cancel them now. */
   cancelSome(share: number): void {
-    for (const id of this.accepted) if (this.draw() < share) this.#toCancel.add(id);
+    for (const id of this.accepted) if (this.draw() < share) void this.#cancel(id);
+  }
+
+  async #cancel(id: string): Promise<void> {
+    if (this.#cancelling.has(id)) return;
+    this.#cancelling.add(id);
+    this.checker.cancelAsked(id);
+    while ((await this.#request('withdraw', id, {})) === null) await this.clock.sleep(1000);
   }
 
   /** Calls back when a controller next logs this. */
@@ -317,9 +323,14 @@
   }
 
   /** One request of a user; the answer is checked against the rules. */
-  async #request(kind: 'submit' | 'show' | 'withdraw', id: string, body: object): Promise<string | null> {
-    const life = this.#reachable();
-    if (life === null) return null;
+  async #request(
+    kind: 'submit' | 'show' | 'withdraw',
+    id: string,
+    body: object,
+    at?: string,
+  ): Promise<string | null> {
+    const life = at === undefined ? this.#reachable() : (this.#lives.get(at) ?? null);
+    if (life === null || !life.clock.alive) return null;
     const { users } = life.node;
     const askedAt = this.clock.now;
     this.checker.asked(id, askedAt);
@@ -332,9 +343,23 @@
     return answer.status < 300 ? (told.stage ?? null) : null;
   }
 
-  /** One question about a job, by whoever is curious. */
-  ask(id: string): void {
-    void this.#request('show', id, {});
+  /** One question about a job, by whoever is curious; the stage that is told, null without an answer. */
+  ask(id: string, at?: string): Promise<string | null> {
+    return this.#request('show', id, {}, at);
+  }
+
+  /** Lets time pass until a promise is settled. */
+  async until<T>(promise: Promise<T>): Promise<T> {
+    let settled = false;
+    void promise.finally(() => (settled = true));
+    while (!settled) await this.clock.runUntil(this.clock.now + 10);
+    return promise;
+  }
+
+  /** One request to cancel a job, at one controller; whether it was confirmed. */
+  async withdraw(id: string, at: string): Promise<boolean> {
+    this.checker.cancelAsked(id);
+    return (await this.#request('withdraw', id, {}, at)) === 'withdrawn';
   }
 
   /** Submits a job until it is accepted, then follows it; cancels it after a while if asked to. */
@@ -358,7 +383,7 @@
       together: job.oneZone,
       apart: job.spread,
       borrowed: job.spot,
-      expectedS: 5,
+      expectedS: (this.runs.get(job.id) ?? [5000, 0])[0] / 1000,
       bookmarkS: job.bookmarkS ?? 0,
       bookmarkWriteS: job.bookmarkS === undefined ? 0 : 0.5,
       curtainS: job.bookmarkS === undefined ? 60 : null,
@@ -370,7 +395,6 @@
     for (;;) {
       await this.clock.sleep(1000 + 2000 * this.draw());
       if (this.draw() < 0.1) await this.#request('submit', job.id, body);
-      if (this.#toCancel.delete(job.id)) cancelAt = Math.min(cancelAt, this.clock.now);
       if (this.clock.now >= cancelAt) {
         this.checker.cancelAsked(job.id);
         if ((await this.#request('withdraw', job.id, {})) !== null) cancelAt = Infinity;
@@ -521,7 +545,7 @@
     }
     // Users ask many times as often for a while.
     const storm = (untilMs: number): void => {
-      for (const id of world.accepted) if (draw() < 0.3) world.ask(id);
+      for (const id of world.accepted) if (draw() < 0.3) void world.ask(id);
       if (clock.now < untilMs) clock.in(100, () => storm(untilMs));
     };
     clock.in(lengthMs * 0.6 * draw(), () => storm(clock.now + 15_000));
