What comes in malformed is counted, and told in one line a lease

Cause: malformed reports and requests left no line, broken peer links one each, as many as a flood makes. Change: a tally by what it should have been, logged at most once a lease_s. Shown by the flood in test/leading.test.ts and by test/server.test.ts.

--- a/src/adapters/peers.ts
+++ b/src/adapters/peers.ts
@@ -3,7 +3,7 @@
 import type { Clock } from '../clock.js';
 import { toldEvery } from '../membership/table.js';
 import type { Link } from '../membership/views.js';
-import type { Log } from '../logging.js';
+import type { Log, Tally } from '../logging.js';
 import { parseAddress, type PlatformSettings, type Timing } from '../settings.js';
 import { encodeStatus, StatusReader, type PeerStatus } from '../wire/peers.js';
 
@@ -24,6 +24,7 @@
     private readonly onStatus: (status: PeerStatus) => void,
     /** What became of the link to a peer, each time that changes or is tried. */
     private readonly onLink: (node: string, link: Link) => void,
+    private readonly malformed: Pick<Tally, 'note'>,
   ) {
     this.#names = new Set(settings.others.map((other) => other.host_name));
     this.#server = createServer((socket) => this.#accept(socket));
@@ -48,8 +49,8 @@
     socket.on('data', (part) => {
       try {
         for (const status of reader.push(part)) this.#take(status);
-      } catch (error) {
-        this.log.info({ reason: String(error) }, 'peer link closed');
+      } catch {
+        this.malformed.note('peer messages');
         socket.destroy();
       }
     });
--- a/src/adapters/server.ts
+++ b/src/adapters/server.ts
@@ -17,6 +17,7 @@
   describe(): object;
   readonly latencies: Pick<Latencies, 'record'>;
   readonly admission: Admission;
+  readonly malformed: { note(what: string): void };
 }
 
 function sendJson(response: ServerResponse, status: number, body: string, awayS = 1): void {
@@ -51,16 +52,19 @@
 const notAllowed: RequestHandler = (_request, response) =>
   sendJson(response, 405, '{"error":"method not allowed"}');
 
-const onError: ErrorRequestHandler = (error, _request, response, _next) => {
-  const status = (error as { status?: unknown }).status;
-  const faulty = typeof status === 'number' && status >= 400 && status < 500;
-  // Too large, not JSON, a broken encoding: all of it is the sender's mistake.
-  sendJson(
-    response,
-    faulty ? 400 : 503,
-    JSON.stringify({ error: faulty ? 'malformed request' : 'try again' }),
-  );
-};
+const onError =
+  (served: Served): ErrorRequestHandler =>
+  (error, _request, response, _next) => {
+    const status = (error as { status?: unknown }).status;
+    const faulty = typeof status === 'number' && status >= 400 && status < 500;
+    if (faulty) served.malformed.note('requests');
+    // Too large, not JSON, a broken encoding: all of it is the sender's mistake.
+    sendJson(
+      response,
+      faulty ? 400 : 503,
+      JSON.stringify({ error: faulty ? 'malformed request' : 'try again' }),
+    );
+  };
 
 export function createPublicServer(served: Served, sockets: number): Server {
   const { users } = served;
@@ -79,6 +83,7 @@
     const from = performance.now();
     try {
       const { status, body } = await ask();
+      if (status === 400) served.malformed.note('requests');
       sendJson(response, status, JSON.stringify(body), status === 503 ? admission.away() : 1);
     } finally {
       admission.leave();
@@ -108,7 +113,7 @@
     .all(notAllowed);
   app.all('/v1/report', notAllowed);
   app.use((_request, response) => sendJson(response, 404, '{"error":"no such path"}'));
-  app.use(onError);
+  app.use(onError(served));
 
   const server = createServer({ keepAlive: true, noDelay: true }, (request, response) => {
     const { method, url = '' } = request;
--- a/src/controller/node.ts
+++ b/src/controller/node.ts
@@ -11,6 +11,7 @@
 import { Following } from './following.js';
 import { Latencies } from '../latency.js';
 import { Leading } from './leading.js';
+import { Tally } from '../logging.js';
 import { Owner } from '../owner.js';
 import { Observing } from './observing.js';
 import { Peering } from './peering.js';
@@ -29,6 +30,8 @@
   readonly users: Users;
   readonly latencies = new Latencies();
   readonly admission: Admission;
+  /** What came in that could not be read, by what it should have been. */
+  readonly malformed = new Tally();
   readonly #common: Common;
   readonly #peering: Peering;
   readonly #leading: Leading;
@@ -187,9 +190,14 @@
 
   async #keepTicking(): Promise<void> {
     const { clock } = this.#common.ports;
-    const { tick } = this.#common.timing;
+    const { tick, workerLease } = this.#common.timing;
+    let toldAt = clock.mono();
     for (;;) {
       const from = clock.mono();
+      if (from - toldAt > workerLease) {
+        this.malformed.tell(this.#common.ports.log, 'malformed');
+        toldAt = from;
+      }
       await clock.sleep(tick);
       this.#observing.tick(Math.max(0, clock.mono() - from - tick));
       const { doubtsItself, isBusy } = this.#observing;
@@ -243,6 +251,7 @@
   report(body: unknown, done: (status: number, body: string) => void): void {
     const report = parseReport(body);
     if (report === null) {
+      this.malformed.note('reports');
       done(400, '{"error":"malformed report"}');
       return;
     }
--- a/src/logging.ts
+++ b/src/logging.ts
@@ -5,6 +5,22 @@
 
 const LEVELS = new Set(['error', 'info', 'debug']);
 
+/** Counts what may come in floods, so that one line tells of many. */
+export class Tally {
+  readonly #counts = new Map<string, number>();
+
+  note(what: string): void {
+    this.#counts.set(what, (this.#counts.get(what) ?? 0) + 1);
+  }
+
+  /** Logs what has been counted since it last did, if anything. */
+  tell(log: Log, event: string): void {
+    if (this.#counts.size === 0) return;
+    log.info(Object.fromEntries(this.#counts), event);
+    this.#counts.clear();
+  }
+}
+
 export function createLog(level: string | undefined): Log {
   return pino(
     { level: level !== undefined && LEVELS.has(level) ? level : 'info', base: null, timestamp: false },
--- a/src/service.ts
+++ b/src/service.ts
@@ -39,6 +39,7 @@
     () => node.status(),
     (status) => node.onPeer(status),
     (name, link) => node.onLink(name, link),
+    node.malformed,
   );
   node.tellPeers = () => peers.tellNow();
   peers.start();
--- a/test/leading.test.ts
+++ b/test/leading.test.ts
@@ -52,7 +52,7 @@
 
 // Reports under invented names cost a leader a connection to each, and the plan its patience.
 test('a flood of malformed requests and invented machines costs no leadership and no lease', async () => {
-  const world = new World(seeded(5));
+  const world = new World(seeded(5), { keepLog: true });
   await world.clock.runUntil(3000);
   const job = { id: 'req-000001', team: 'crew', tasks: 30, cpus: 2, memoryGb: 2, spot: true };
   void world.user({ ...job, zone: null, oneZone: false, spread: false }, null);
@@ -61,6 +61,10 @@
   world.flood(32_000);
   await world.clock.runUntil(55_000);
   expect(world.leaders()).toEqual(leaders);
+  // Some 2,000 at each node; a line a lease tells of them.
+  const lines = world.logged.filter(({ msg }) => msg === 'malformed');
+  expect(lines.length).toBeLessThanOrEqual(3 * 4);
+  expect(lines.reduce((sum, { reports }) => sum + Number(reports), 0)).toBeGreaterThan(3000);
   expect(world.cloud.workers.size).toBeGreaterThan(0);
   expect([...world.cloud.workers.values()].every(({ session }) => session === 1)).toBe(true);
   await world.clock.runUntil(80_000);
--- a/test/server.test.ts
+++ b/test/server.test.ts
@@ -55,9 +55,11 @@
     describe: () => ({ fine: true }),
     latencies: { record: () => undefined },
     admission: new Admission(systemClock, 100),
+    malformed: { note: (what) => malformed.push(what) },
   },
   100,
 );
+const malformed: string[] = [];
 let client: HttpClient;
 beforeAll(async () => {
   await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
@@ -251,6 +253,10 @@
   expect((await client.call('POST', '/ready', '{}', 5000)).status).toBe(405);
   expect((await client.call('POST', '/v1/report', '{"skiff":1}', 5000)).status).toBe(400);
   expect((await client.call('POST', '/v1/report', 'garbage', 5000)).status).toBe(400);
+  malformed.length = 0;
+  expect((await client.call('POST', '/v2/runs', 'garbage', 5000)).status).toBe(400);
+  expect((await post({ nameId: 7 })).status).toBe(400);
+  expect(malformed).toEqual(['requests', 'requests']);
   expect((await get('/ready')).status).toBe(200);
 });
 
