--- a/test/meetings.test.ts
+++ b/test/meetings.test.ts
@@ -146,7 +146,10 @@
   expect(await world.until(world.withdraw(id, at))).toBe(false);
   await world.clock.runUntil(FROM + 18_000);
   for (const node of NODES) expect(await world.until(world.ask(id, node))).toBe('done');
-  await world.clock.runUntil(FROM + 40_000);
+  await world.clock.runUntil(FROM + 30_000);
+  // Nobody answers by what it remembers.
+  for (const node of [0, 1, 2]) world.crash(node, 500);
+  await world.clock.runUntil(FROM + 45_000);
   for (const node of NODES) expect(await world.until(world.ask(id, node))).toBe('done');
   await endsWell(world);
 });
