--- a/test/guards.test.ts
+++ b/test/guards.test.ts
@@ -228,19 +228,7 @@
   const claims = Object.fromEntries(
     machines.map((machine, i) => [i, { attempt: 1, machine, session: 1, madeAt: bench.now }]),
   );
-  const { team, cpus, gpus, memoryGb } = spec;
-  const record = { team, cpus, gpus, memoryGb, done: '', attempts: {}, claims };
-  bench.do({
-    kind: 'lead',
-    term: TERM,
-    stamp: 100,
-    provenAt: bench.now,
-    layout: bench.state.layout,
-    wide: bench.state.wide,
-    memory: [],
-    jobs: [{ value: spec, stamp: 50 }],
-    chunks: [{ job: spec.id, name: { index: 0, width: null }, record: { value: record, stamp: 60 } }],
-  });
+  bench.takeOver(spec, claims);
   return bench;
 }
 
@@ -351,26 +339,8 @@
 
 test('a new leader starts nothing anew that an earlier one may have started', () => {
   const bench = new CoreBench();
-  const record = {
-    team: 'crew',
-    cpus: 4,
-    gpus: 0,
-    memoryGb: 1,
-    done: '',
-    attempts: {},
-    claims: { 0: { attempt: 3, machine: 'm', session: 1, madeAt: bench.now } },
-  };
-  bench.do({
-    kind: 'lead',
-    term: TERM,
-    stamp: 100,
-    provenAt: bench.now,
-    layout: bench.state.layout,
-    wide: bench.state.wide,
-    memory: [],
-    jobs: [{ value: job('req-1', 1, 4, 50), stamp: 50 }],
-    chunks: [{ job: 'req-1', name: { index: 0, width: null }, record: { value: record, stamp: 60 } }],
-  });
+  const claims = { 0: { attempt: 3, machine: 'm', session: 1, madeAt: bench.now } };
+  bench.takeOver(job('req-1', 1, 4, 50), claims);
   bench.now += 3000;
   // Another machine has room, but the task may be on m: it stays put, with its attempt.
   expect(CoreBench.starts(bench.hear(report('n', 1)))).toEqual([]);
--- a/test/meetings.test.ts
+++ b/test/meetings.test.ts
@@ -249,19 +249,7 @@
 test('old reports: a successor that has heard nothing takes no end of an earlier attempt for the present one', () => {
   const bench = new CoreBench();
   const claims = { 0: { attempt: 2, machine: 'm', session: 3, madeAt: bench.now } };
-  const record = { team: 'crew', cpus: 4, gpus: 0, memoryGb: 1, done: '', attempts: {}, claims };
-  const spec = job('req-1', 1, 4, 50);
-  bench.do({
-    kind: 'lead',
-    term: TERM,
-    stamp: 100,
-    provenAt: bench.now,
-    layout: bench.state.layout,
-    wide: bench.state.wide,
-    memory: [],
-    jobs: [{ value: spec, stamp: 50 }],
-    chunks: [{ job: 'req-1', name: { index: 0, width: null }, record: { value: record, stamp: 60 } }],
-  });
+  bench.takeOver(job('req-1', 1, 4, 50), claims);
   bench.now += 3000;
   bench.hear(report('n', 1));
   const claim = (): unknown => [...(bench.state.jobs.get('req-1')?.claims.values() ?? [])];
--- a/test/standins/core.ts
+++ b/test/standins/core.ts
@@ -3,7 +3,7 @@
 import type { Command, Effect } from '../../src/core/effects.js';
 import { createState, type CoreState } from '../../src/core/state.js';
 import { step } from '../../src/core/step.js';
-import type { JobSpec, MachineType, Report, ReportedTask } from '../../src/core/types.js';
+import type { Claim, JobSpec, MachineType, Report, ReportedTask } from '../../src/core/types.js';
 import { rulesFor } from '../../src/rules.js';
 import { createPolicy } from '../../src/policy.js';
 import { testSettings } from './world.js';
@@ -201,6 +201,23 @@
     return this.do({ kind: 'jobAdded', job: { value: spec, stamp: ++this.#stamp } });
   }
 
+  /** A new leader, which knows one job and who may be where of it from the state service alone. */
+  takeOver(spec: JobSpec, claims: Readonly<Record<string, Claim>>): void {
+    const { id, team, cpus, gpus, memoryGb } = spec;
+    const record = { team, cpus, gpus, memoryGb, done: '', attempts: {}, claims };
+    this.do({
+      kind: 'lead',
+      term: TERM,
+      stamp: TERM_STAMP,
+      provenAt: this.now,
+      layout: this.state.layout,
+      wide: this.state.wide,
+      memory: [],
+      jobs: [{ value: spec, stamp: 50 }],
+      chunks: [{ job: id, name: { index: 0, width: null }, record: { value: record, stamp: 60 } }],
+    });
+  }
+
   hear(from: Report): Effect[] {
     return this.do({ kind: 'report', reply: ++this.#reply, report: from });
   }
