Repeats cost no changes; changes are taken in the order of their revisions

Cause, by reading: a repeated submission was found out by a transaction that failed, which counts against the changes a second; and the watch's answers were taken in the order told, while the protocol's example tells the later of two changes first: a job entered and ended within one answer would have been called pending for ever. Change: a job that the mirror has seen is asked about first; changes are sorted by revision. Tests of odd requests and of old reports from before a task was on a machine.

--- a/src/adapters/users.ts
+++ b/src/adapters/users.ts
@@ -108,6 +108,11 @@
       const found = await this.#find(id);
       return found.kind === 'none' ? { status: 422, body: { error: reason } } : this.#tell(id, found);
     }
+    // A repeat: that it is known takes a question, and nothing of what may be written a second.
+    if (this.#reads.lastLive(id) !== undefined) {
+      const found = await this.#find(id);
+      if (found.kind !== 'none') return this.#tell(id, found);
+    }
     const own = [jobKey(id), endedKey(id)];
     const until = this.context.clock.mono() + this.context.patience;
     do {
--- a/src/wire/state.ts
+++ b/src/wire/state.ts
@@ -77,6 +77,8 @@
       return null;
     }
   }
+  // A job that was entered and ended within one answer would live for ever, were its end told first.
+  changes.sort((one, other) => one.stamp - other.stamp);
   return { changes, revision };
 }
 
--- a/test/closer.test.ts
+++ b/test/closer.test.ts
@@ -148,6 +148,31 @@
   await endsWell(world, 200_000);
 });
 
+test('odd requests: repeats cost no changes, nothing impossible or incomplete is accepted', async () => {
+  const world = new World(seeded(5), { cpusMax: 6 });
+  const { clock, state } = world;
+  await clock.runUntil(3000);
+  for (let i = 0; i < 6; i += 1) {
+    const id = `req-${String(i).padStart(6, '0')}`;
+    world.runs.set(id, [5000, 1000]);
+    void world.user({ ...PLACE, id, tasks: 2 }, i === 0 ? 3000 : null);
+  }
+  await clock.runUntil(8000);
+  let failed = 0;
+  const commit = state.commit.bind(state);
+  state.commit = (txn) => {
+    const outcome = commit(txn);
+    if (outcome.kind === 'failed' && txn.apply.length > 0) failed += 1;
+    return outcome;
+  };
+  world.oddRequests(40_000);
+  await endsWell(world, 90_000);
+  expect(world.odds).toBeGreaterThan(500);
+  expect(failed).toBeLessThanOrEqual(3);
+  // Of what was refused nothing is left behind.
+  expect([...state.keys.keys()].filter((key) => key.includes('req-7'))).toEqual([]);
+});
+
 // 4. Jobs are cancelled in the seconds in which one controller's work changes hands.
 test.each(['hands over', 'elected', 'leading'])(
   'cancelled as work changes hands: around "%s"',
@@ -205,11 +230,11 @@
 
 // 6. An old report reaches every controller just as a new leader begins.
 test('old reports reach every controller as a leader begins: nothing is freed, ended or placed by them', async () => {
-  const { world } = await atWork(3, { runs: [90_000, 1000] });
+  // Of all reports, also those from before there was a task on the machines.
+  const { world } = await atWork(3, { runs: [90_000, 1000], copies: 60_000 });
   const { clock, checker } = world;
   const started = checker.started;
   for (let i = 0; i < 3; i += 1) {
-    world.keepCopies(1, 30_000);
     await clock.runUntil(clock.now + 1500);
     crashLeader(world, 5000);
     await clock.runUntil(clock.now + 4500);
--- a/test/standins/at-work.ts
+++ b/test/standins/at-work.ts
@@ -20,9 +20,17 @@
 /** Jobs of three tasks that run for long, all of them out, under one leader. */
 export async function atWork(
   seed = 3,
-  { jobs = 3, runs = [60_000, 30_000] as readonly [number, number], machines = 6, tasks = 3 } = {},
+  {
+    jobs = 3,
+    runs = [60_000, 30_000] as readonly [number, number],
+    machines = 6,
+    tasks = 3,
+    /** For so long, from the start on, copies of reports are kept for the next leader. */
+    copies = 0,
+  } = {},
 ): Promise<AtWork> {
   const world = new World(seeded(seed), { keepLog: true });
+  if (copies > 0) world.keepCopies(1, copies);
   world.cloud.capacity = machines;
   const ids = Array.from({ length: jobs }, (_, i) => `req-${String(i).padStart(6, '0')}`);
   const place = { team: 'crew', cpus: 2, memoryGb: 1, spot: true, zone: null, oneZone: false, spread: false };
--- a/test/wire.test.ts
+++ b/test/wire.test.ts
@@ -83,3 +83,15 @@
     cues: [{ cue: 'halt', movement: 'req-1/1', take: 2, fermataS: 10 }],
   });
 });
+
+// The protocol's own example tells the later of two changes first.
+test('changes are taken in the order of their revisions, however they are told', () => {
+  const told = {
+    ledgerRev: 9,
+    events: [
+      { remove: 'job/req-1', stamp: 8 },
+      { put: 'job/req-1', data: {}, stamp: 7 },
+    ],
+  };
+  expect(parseChanges(told)?.changes.map(({ stamp }) => stamp)).toEqual([7, 8]);
+});
