--- a/test/standins/checker.ts
+++ b/test/standins/checker.ts
@@ -60,6 +60,8 @@
   /** Jobs that can never run, or lack a field: nobody may accept them. */
   readonly #unacceptable = new Set<string>();
   started = 0;
+  /** Tasks that a worker killed because its lease was over. */
+  lapsed = 0;
 
   constructor(
     private readonly cancelMs: number,
--- a/test/standins/cloud.ts
+++ b/test/standins/cloud.ts
@@ -106,6 +106,7 @@
 
   #lapse(): void {
     if (this.network.clock.now - this.#leaseFrom <= this.rules.leaseMs) return;
+    this.checker.lapsed += [...this.tasks.values()].filter(({ stage }) => stage !== 'ended').length;
     this.killAll();
     this.session += 1;
     this.#leaseFrom = this.network.clock.now;
