--- a/test/closer.test.ts
+++ b/test/closer.test.ts
@@ -1,10 +1,12 @@
 /** The users' further meetings: each test brings one about, and says that it took place. */
 import { expect, test } from 'vitest';
 import type { Transaction } from '../src/core/types.js';
+import { createElection, electionStep, type ElectionEffect } from '../src/membership/election.js';
+import { timing } from '../src/settings.js';
 import { atWork, CANCEL, endsWell, FROM, LEASE } from './standins/at-work.js';
 import { CoreBench, job, report, task } from './standins/core.js';
 import { partZones } from './standins/troubles.js';
-import { NODES, seeded, World } from './standins/world.js';
+import { NODES, seeded, testSettings, World } from './standins/world.js';
 
 const PLACE = { team: 'crew', cpus: 2, memoryGb: 1, spot: true, zone: null, oneZone: false, spread: false };
 
@@ -91,6 +93,32 @@
   await endsWell(world);
 });
 
+// The answer to a renewal is lost only after most of the lease; waiting the usual pause as well let it end.
+test('only the answer is lost: a renewal is repeated sooner than the next would be due', () => {
+  const times = timing(testSettings(0));
+  const election = createElection('n-0', 'life', times);
+  const round = (effects: readonly ElectionEffect[], kind: string): number => {
+    const effect = effects.find((one) => one.kind === kind);
+    return effect !== undefined && 'round' in effect ? effect.round : -1;
+  };
+  const nobody = { value: null, stamp: 0, revision: 1 };
+  let told = electionStep(election, { kind: 'start' });
+  told = electionStep(election, { kind: 'read', round: round(told, 'read'), leader: nobody });
+  const term = { value: 1, stamp: 1 };
+  told = electionStep(election, { kind: 'granted', round: round(told, 'grant'), lease: 7, term, now: 0 });
+  told = electionStep(election, {
+    kind: 'stood',
+    round: round(told, 'stand'),
+    outcome: 'applied',
+    revision: 2,
+  });
+  expect(told).toContainEqual(expect.objectContaining({ kind: 'wait', ms: times.renewEvery }));
+  told = electionStep(election, { kind: 'time', round: round(told, 'wait') });
+  told = electionStep(election, { kind: 'renewed', round: round(told, 'renew'), alive: null });
+  expect(told).toEqual([expect.objectContaining({ kind: 'wait', ms: times.tick })]);
+  expect(times.stateTimeout + times.tick).toBeLessThan(times.leaderLease);
+});
+
 test('only the answer is lost: a successor that was named unseen leads', async () => {
   const { world, leader } = await atWork();
   const renamed = ({ apply }: Transaction): boolean =>
