Scale run: real controllers with hollow workers, measured and checked (npm run scale)

Cause: nothing showed what the service needs at 1,100 workers but a bench of the core alone. Change: lab/ emulates PROTOCOL's state service, cloud, workers and users on loopback in real time; scenarios are checked files; figures by role, latencies by class, rules checked from what workers saw; JSON and plots.

--- a/bench/between.mjs
+++ b/bench/between.mjs
@@ -9,7 +9,9 @@
 import { build } from 'esbuild';
 import { bundleVersions } from './versions.mjs';
 
-const { values } = parseArgs({ options: { against: { type: 'string' }, days: { type: 'string', default: '34' } } });
+const { values } = parseArgs({
+  options: { against: { type: 'string' }, days: { type: 'string', default: '34' } },
+});
 
 /** Bundles the days with the sources that lie in `source`, wherever they had their files. */
 async function bundle(name, source) {
@@ -52,7 +54,9 @@
   }
 });
 await Promise.all(workers);
-console.log('| fault of the leader | version | suspected | next elected | longest pause in starts | changes | given back alive | leases lost | broken |');
+console.log(
+  '| fault of the leader | version | suspected | next elected | longest pause in starts | changes | given back alive | leases lost | broken |',
+);
 console.log('| --- | --- | --- | --- | --- | --- | --- | --- | --- |');
 for (const kind of kinds)
   for (const [version] of versions) {
--- a/bench/between.ts
+++ b/bench/between.ts
@@ -12,7 +12,8 @@
 
 const others = (leader: number): number[] => [0, 1, 2].filter((node) => node !== leader);
 const cutFromWorkers: Fault = (world, leader, size) => {
-  for (const name of world.cloud.workers.keys()) world.network.cut(`n-${leader}`, name, 15_000 + 20_000 * size);
+  for (const name of world.cloud.workers.keys())
+    world.network.cut(`n-${leader}`, name, 15_000 + 20_000 * size);
 };
 
 /** Each at a size drawn from 0 to 1. */
@@ -52,7 +53,16 @@
   const draw = seeded(seed);
   const world = new World(draw, { keepLog: true });
   world.cloud.capacity = 40;
-  const wish = { team: 'crew', tasks: 8, cpus: 2, memoryGb: 1, spot: true, zone: null, oneZone: false, spread: false };
+  const wish = {
+    team: 'crew',
+    tasks: 8,
+    cpus: 2,
+    memoryGb: 1,
+    spot: true,
+    zone: null,
+    oneZone: false,
+    spread: false,
+  };
   for (let i = 0; i < 200; i += 1)
     world.clock.in(2000 + 300 * i, () => {
       void world.user({ ...wish, id: `req-${String(i).padStart(6, '0')}` }, null);
--- a/build.mjs
+++ b/build.mjs
@@ -58,6 +58,16 @@
   ],
   { env: { ...process.env, LOG_LEVEL: 'error', ROWANFERRY_KEEP_CODE: '1500' }, stdio: 'ignore' },
 );
+if (process.argv.includes('--scale'))
+  await build({
+    entryPoints: ['lab/main.ts'],
+    outfile: 'target/scale.mjs',
+    bundle: true,
+    packages: 'external',
+    platform: 'node',
+    format: 'esm',
+    target: 'node20',
+  });
 for (const name of ['standins', 'demo']) {
   if (!process.argv.includes(`--${name}`)) continue;
   await build({ ...common, entryPoints: [`test/standins/${name}.ts`], outfile: `target/${name}.cjs` });
--- /dev/null
+++ b/lab/emulator/hollow-worker.ts
@@ -0,0 +1,401 @@
+/**
+ * A worker without a machine: it speaks PROTOCOL as a real one does (reports, sessions, tokens, leases,
+ * redirects, image fetches, direct commands), and its tasks are timers.
+ */
+import type { JobDescription, LabEvent } from '../events.js';
+import { monotonicMs } from '../clock.js';
+
+const MIN_REPORT_GAP_MS = 500;
+const RESPONSE_TIMEOUT_MS = 4000;
+const NEXT_NODE_AFTER_MS = 1000;
+const REDIRECT_DELAY_MS = 500;
+const JITTER = 0.25;
+
+/** What all workers of a process share. */
+export interface WorkerContext {
+  readonly controllers: readonly string[];
+  readonly reportMs: number;
+  readonly leaseMs: number;
+  readonly cpus: number;
+  readonly memoryGb: number;
+  readonly cacheGb: number;
+  readonly fetchGbPerS: number;
+  /** Tasks that have completed: their results are kept, whoever starts them again. */
+  readonly results: Set<string>;
+  job(id: string): JobDescription | undefined;
+  runMs(job: JobDescription, task: number): number;
+  emit(event: LabEvent): void;
+  noteReport(ms: number): void;
+  noteLapse(): void;
+  /** Runs work that is the emulation's own, not the protocol's, and counts its time apart. */
+  simulate<T>(work: () => T): T;
+}
+
+/** Sends a report over the worker's connection; status 0: no answer. */
+export type SendReport = (
+  controller: string,
+  body: unknown,
+  timeoutMs: number,
+) => Promise<{ status: number; body: unknown }>;
+
+/** What the cloud knows of a machine. */
+export interface MachineIdentity {
+  readonly name: string;
+  readonly address: string;
+  readonly type: string;
+  readonly zone: string;
+  readonly spot: boolean;
+}
+
+type Stage = 'pulling' | 'running' | 'ended';
+
+interface HollowTask {
+  readonly job: string;
+  readonly task: number;
+  readonly take: number;
+  readonly cpus: number;
+  readonly memoryGb: number;
+  stage: Stage;
+  cadence?: string;
+  timer?: NodeJS.Timeout;
+}
+
+interface Cue {
+  readonly cue?: unknown;
+  readonly movement?: unknown;
+  readonly take?: unknown;
+}
+
+export class HollowWorker {
+  #session = 1;
+  #sequence = 0;
+  #token = 0;
+  #tokenChangeAt = -Infinity;
+  readonly #tasks = new Map<string, HollowTask>();
+  readonly #images = new Map<string, { gb: number; readyAt: number }>();
+  #controller: string;
+  #leaseFrom = monotonicMs();
+  #reportTimer: NodeJS.Timeout | undefined;
+  #leaseTimer: NodeJS.Timeout | undefined;
+  #inFlight = false;
+  #changed = false;
+  #lastSentAt = -Infinity;
+  #over = false;
+  #hangsUntil = 0;
+  #deferred: (() => void)[] = [];
+
+  constructor(
+    readonly identity: MachineIdentity,
+    private readonly context: WorkerContext,
+    private readonly sendReport: SendReport,
+    private readonly draw: () => number,
+  ) {
+    const { controllers } = context;
+    this.#controller = controllers[Math.floor(draw() * controllers.length)] ?? '';
+    this.#scheduleReport(draw() * context.reportMs);
+    this.#watchLease();
+  }
+
+  /** Tasks on the machine, exited ones left out. */
+  get liveTasks(): number {
+    let live = 0;
+    for (const { stage } of this.#tasks.values()) if (stage !== 'ended') live += 1;
+    return live;
+  }
+
+  /** The machine has lost power, or was returned. */
+  stop(): void {
+    if (this.#over) return;
+    this.#over = true;
+    clearTimeout(this.#reportTimer);
+    clearTimeout(this.#leaseTimer);
+    this.#killAll(false);
+  }
+
+  /** Executes nothing for so long, and then goes on. */
+  hang(forMs: number): void {
+    this.#hangsUntil = Math.max(this.#hangsUntil, monotonicMs() + forMs);
+    setTimeout(() => this.#resume(), forMs);
+  }
+
+  #resume(): void {
+    if (monotonicMs() < this.#hangsUntil - 1) return;
+    this.#checkLease();
+    for (const work of this.#deferred.splice(0)) work();
+  }
+
+  /** Runs now, or once the machine no longer hangs. */
+  #awake(work: () => void): void {
+    if (this.#over) return;
+    if (monotonicMs() < this.#hangsUntil) this.#deferred.push(work);
+    else work();
+  }
+
+  // --- reports -------------------------------------------------------------------------------------
+
+  #scheduleReport(inMs: number): void {
+    if (this.#over) return;
+    clearTimeout(this.#reportTimer);
+    this.#reportTimer = setTimeout(() => this.#awake(() => void this.#report()), inMs);
+  }
+
+  #noteChange(): void {
+    this.#changed = true;
+    if (this.#inFlight) return;
+    this.#scheduleReport(Math.max(0, this.#lastSentAt + MIN_REPORT_GAP_MS - monotonicMs()));
+  }
+
+  /** The report as PROTOCOL has it. */
+  body(): object {
+    const { name, address, type, zone, spot } = this.identity;
+    this.#sequence += 1;
+    const movements = [...this.#tasks.values()].map(({ job, task, take, stage, cadence }) => ({
+      movement: `${job}/${task}`,
+      take,
+      stage,
+      ...(cadence === undefined ? {} : { cadence }),
+    }));
+    return {
+      skiff: name,
+      address,
+      bench: type,
+      hall: zone,
+      borrowed: spot,
+      watch: this.#session,
+      barNo: this.#sequence,
+      baton: this.#token,
+      recallS: null,
+      movements,
+    };
+  }
+
+  async #report(): Promise<void> {
+    if (this.#inFlight || this.#over) return;
+    this.#checkLease();
+    this.#inFlight = true;
+    this.#changed = false;
+    const sentAt = monotonicMs();
+    this.#lastSentAt = sentAt;
+    const session = this.#session;
+    const answer = await this.sendReport(this.#controller, this.body(), RESPONSE_TIMEOUT_MS);
+    this.#awake(() => this.#takeAnswer(answer, sentAt, session));
+  }
+
+  #takeAnswer({ status, body }: { status: number; body: unknown }, sentAt: number, session: number): void {
+    this.#inFlight = false;
+    const told = (body ?? {}) as { baton?: unknown; cues?: unknown; conductor?: unknown };
+    if (status === 421) {
+      this.#redirect(told.conductor);
+      return;
+    }
+    // An answer that comes later than it is waited for is dropped, also after a hang.
+    if (status !== 200 || monotonicMs() - sentAt > RESPONSE_TIMEOUT_MS) {
+      this.#nextController();
+      return;
+    }
+    this.context.noteReport(monotonicMs() - sentAt);
+    if (session === this.#session && typeof told.baton === 'number' && told.baton >= this.#token) {
+      this.#raiseToken(told.baton);
+      this.#leaseFrom = sentAt;
+      this.#execute(told.cues);
+    }
+    this.#scheduleNext();
+  }
+
+  #scheduleNext(): void {
+    if (this.#changed) this.#noteChange();
+    else this.#scheduleReport(this.context.reportMs * (1 - JITTER + 2 * JITTER * this.draw()));
+  }
+
+  #redirect(to: unknown): void {
+    if (typeof to !== 'string' || to === this.#controller || !this.context.controllers.includes(to)) {
+      this.#nextController();
+      return;
+    }
+    this.#controller = to;
+    this.#scheduleReport(this.draw() * REDIRECT_DELAY_MS);
+  }
+
+  #nextController(): void {
+    const { controllers } = this.context;
+    this.#controller = controllers[(controllers.indexOf(this.#controller) + 1) % controllers.length] ?? '';
+    this.#scheduleReport(NEXT_NODE_AFTER_MS);
+  }
+
+  #raiseToken(token: number): void {
+    if (token <= this.#token) return;
+    this.#token = token;
+    const now = monotonicMs();
+    if (now - this.#tokenChangeAt < this.context.leaseMs / 2) return;
+    this.#tokenChangeAt = now;
+    this.#changed = true;
+  }
+
+  // --- leases --------------------------------------------------------------------------------------
+
+  #watchLease(): void {
+    const left = this.#leaseFrom + this.context.leaseMs - monotonicMs();
+    this.#leaseTimer = setTimeout(
+      () =>
+        this.#awake(() => {
+          this.#checkLease();
+          this.#watchLease();
+        }),
+      Math.max(50, left + 1),
+    );
+  }
+
+  #checkLease(): void {
+    if (monotonicMs() - this.#leaseFrom <= this.context.leaseMs) return;
+    this.context.noteLapse();
+    this.#killAll(true);
+    this.#session += 1;
+    this.#leaseFrom = monotonicMs();
+    this.#noteChange();
+  }
+
+  #killAll(lapsed: boolean): void {
+    for (const task of this.#tasks.values()) this.#leave(task, false, lapsed);
+    this.#tasks.clear();
+  }
+
+  // --- commands ------------------------------------------------------------------------------------
+
+  /** Executes a direct command's body: PROTOCOL's `/do`. */
+  direct(body: unknown): { status: number; report: object } {
+    const { baton, watch, cues } = (body ?? {}) as { baton?: unknown; watch?: unknown; cues?: unknown };
+    if (typeof baton !== 'number' || typeof watch !== 'number') return { status: 400, report: {} };
+    if (baton < this.#token || watch !== this.#session) return { status: 409, report: this.body() };
+    const before = this.#token;
+    this.#raiseToken(baton);
+    this.#execute(cues);
+    if (this.#token > before || this.#changed) this.#noteChange();
+    return { status: 200, report: this.body() };
+  }
+
+  /** Calls back once the machine can answer. */
+  whenAwake(work: () => void): void {
+    this.#awake(work);
+  }
+
+  #execute(cues: unknown): void {
+    if (!Array.isArray(cues)) return;
+    for (const cue of cues as Cue[]) {
+      const { movement, take } = cue;
+      if (typeof movement !== 'string' || typeof take !== 'number') continue;
+      if (cue.cue === 'start') this.context.simulate(() => this.#start(movement, take));
+      else if (cue.cue === 'halt') this.context.simulate(() => this.#halt(movement, take));
+      else if (cue.cue === 'reap') this.#reap(movement, take);
+    }
+  }
+
+  #start(movement: string, take: number): void {
+    const key = `${movement}#${take}`;
+    if (this.#tasks.has(key)) return;
+    const at = movement.lastIndexOf('/');
+    const id = movement.slice(0, at);
+    const number = Number(movement.slice(at + 1));
+    const job = this.context.job(id);
+    const refused = (cadence: string): void => {
+      this.#tasks.set(key, { job: id, task: number, take, cpus: 0, memoryGb: 0, stage: 'ended', cadence });
+      this.#changed = true;
+    };
+    if (job === undefined || number >= job.tasks) {
+      refused('no_such');
+      return;
+    }
+    const live = [...this.#tasks.values()].filter(({ stage }) => stage !== 'ended');
+    if (live.some((one) => one.job === id && one.task === number)) {
+      refused('in_use');
+      return;
+    }
+    const cpus = live.reduce((sum, one) => sum + one.cpus, job.cpus);
+    const memoryGb = live.reduce((sum, one) => sum + one.memoryGb, job.memoryGb);
+    if (cpus > this.context.cpus + 1e-9 || memoryGb > this.context.memoryGb + 1e-9) {
+      refused('full');
+      return;
+    }
+    const task: HollowTask = {
+      job: id,
+      task: number,
+      take,
+      cpus: job.cpus,
+      memoryGb: job.memoryGb,
+      stage: 'pulling',
+    };
+    this.#tasks.set(key, task);
+    this.#changed = true;
+    this.context.emit({ kind: 'begun', token: this.#token, ...this.#ofTask(task) });
+    task.timer = setTimeout(() => this.#awake(() => this.#run(task, job)), this.#fetchMs(job));
+  }
+
+  /** How long the job's image takes from now; 0: it is cached. */
+  #fetchMs({ image, imageGb }: JobDescription): number {
+    const now = monotonicMs();
+    const known = this.#images.get(image);
+    this.#images.delete(image);
+    const readyAt = known?.readyAt ?? now + (imageGb / this.context.fetchGbPerS) * 1000;
+    this.#images.set(image, { gb: imageGb, readyAt });
+    let held = 0;
+    for (const { gb } of this.#images.values()) held += gb;
+    for (const [oldest, { gb }] of this.#images) {
+      if (held <= this.context.cacheGb || oldest === image) break;
+      this.#images.delete(oldest);
+      held -= gb;
+    }
+    return Math.max(0, readyAt - now);
+  }
+
+  #run(task: HollowTask, job: JobDescription): void {
+    if (task.stage !== 'pulling') return;
+    this.context.simulate(() => {
+      task.stage = 'running';
+      this.context.emit({ kind: 'on', ...this.#ofTask(task) });
+      const runMs = this.context.results.has(`${task.job}/${task.task}`)
+        ? 0
+        : this.context.runMs(job, task.task);
+      task.timer = setTimeout(() => this.#awake(() => this.#complete(task)), runMs);
+    });
+    this.#noteChange();
+  }
+
+  #complete(task: HollowTask): void {
+    if (task.stage !== 'running') return;
+    this.context.simulate(() => {
+      this.context.results.add(`${task.job}/${task.task}`);
+      this.#leave(task, true, false);
+      task.cadence = 'done';
+    });
+    this.#noteChange();
+  }
+
+  #halt(movement: string, take: number): void {
+    const task = this.#tasks.get(`${movement}#${take}`);
+    if (task === undefined || task.stage === 'ended') return;
+    this.#leave(task, false, false);
+    task.cadence = 'halted';
+    this.#changed = true;
+  }
+
+  #reap(movement: string, take: number): void {
+    const key = `${movement}#${take}`;
+    if (this.#tasks.get(key)?.stage === 'ended') this.#tasks.delete(key);
+  }
+
+  #ofTask({ job, task }: HollowTask): {
+    at: number;
+    worker: string;
+    zone: string;
+    job: string;
+    task: number;
+  } {
+    return { at: monotonicMs(), worker: this.identity.name, zone: this.identity.zone, job, task };
+  }
+
+  /** The task is no longer on the machine. */
+  #leave(task: HollowTask, done: boolean, lapsed: boolean): void {
+    clearTimeout(task.timer);
+    if (task.stage === 'running') this.context.emit({ kind: 'off', done, lapsed, ...this.#ofTask(task) });
+    task.stage = 'ended';
+  }
+}
--- /dev/null
+++ b/lab/emulator/http.ts
@@ -0,0 +1,127 @@
+/** JSON over HTTP for the emulated services and workers, with counts of messages and bytes by kind. */
+import { Agent, request as send, type IncomingMessage, type ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
+
+/** Messages and bytes of one kind, requests and answers together. */
+export interface Traffic {
+  messages: number;
+  bytes: number;
+}
+
+/** Counts traffic by kind. */
+export class TrafficMeter {
+  readonly kinds = new Map<string, Traffic>();
+
+  note(kind: string, bytes: number): void {
+    const known = this.kinds.get(kind);
+    if (known === undefined) this.kinds.set(kind, { messages: 1, bytes });
+    else {
+      known.messages += 1;
+      known.bytes += bytes;
+    }
+  }
+
+  /** What has been counted since the last call. */
+  take(): Record<string, Traffic> {
+    const taken = Object.fromEntries(this.kinds);
+    this.kinds.clear();
+    return taken;
+  }
+}
+
+const counted = new WeakMap<Socket, number>();
+
+/** Bytes that a connection has carried both ways since this was last asked. */
+export function bytesSince(socket: Socket): number {
+  const now = socket.bytesRead + socket.bytesWritten;
+  const before = counted.get(socket) ?? 0;
+  counted.set(socket, now);
+  return now - before;
+}
+
+/** Reads a whole body as JSON; undefined if it is none. */
+export function readJson(message: IncomingMessage): Promise<unknown> {
+  return new Promise((resolve) => {
+    const parts: Buffer[] = [];
+    message.on('data', (part: Buffer) => parts.push(part));
+    message.on('end', () => {
+      try {
+        resolve(JSON.parse(Buffer.concat(parts).toString('utf8')));
+      } catch {
+        resolve(undefined);
+      }
+    });
+    message.on('error', () => resolve(undefined));
+    message.on('close', () => resolve(undefined));
+  });
+}
+
+/** Answers with JSON. */
+export function answerJson(response: ServerResponse, status: number, body: unknown): void {
+  if (response.destroyed || response.writableEnded) return;
+  const text = JSON.stringify(body);
+  response
+    .writeHead(status, { 'Content-Type': 'application/json', 'Content-Length': Buffer.byteLength(text) })
+    .end(text);
+}
+
+/** An answer; status 0: none came in time, or the connection failed. */
+export interface JsonAnswer {
+  readonly status: number;
+  readonly body: unknown;
+  readonly bytes: number;
+}
+
+/** A client of one host that keeps its connections open. */
+export class JsonClient {
+  readonly #agent: Agent;
+
+  constructor(
+    private readonly host: string,
+    private readonly port: number,
+    sockets: number,
+    localAddress?: string,
+  ) {
+    this.#agent = new Agent({
+      keepAlive: true,
+      maxSockets: sockets,
+      ...(localAddress === undefined ? {} : { localAddress }),
+    });
+  }
+
+  close(): void {
+    this.#agent.destroy();
+  }
+
+  call(method: string, path: string, body: unknown, timeoutMs: number): Promise<JsonAnswer> {
+    return new Promise((resolve) => {
+      let bytes = 0;
+      let settled = false;
+      const settle = (status: number, answer: unknown): void => {
+        if (settled) return;
+        settled = true;
+        clearTimeout(timer);
+        resolve({ status, body: answer, bytes });
+      };
+      const text = body === undefined ? null : JSON.stringify(body);
+      const headers =
+        text === null
+          ? {}
+          : { 'Content-Type': 'application/json', 'Content-Length': Buffer.byteLength(text) };
+      const { host, port } = this;
+      const request = send({ host, port, method, path, headers, agent: this.#agent }, (response) => {
+        const { socket } = response;
+        void readJson(response).then((answer) => {
+          bytes = bytesSince(socket);
+          settle(response.statusCode ?? 0, answer);
+        });
+      });
+      const timer = setTimeout(() => {
+        settle(0, undefined);
+        request.destroy();
+      }, timeoutMs);
+      request.on('error', () => settle(0, undefined));
+      request.end(text ?? undefined);
+    });
+  }
+}
