Reports shared among controllers: followers take workers' reports for the leader

Cause: one leader heard every report: HTTP and JSON cost two to four times the core's part, its followers were idle. Change: a follower forwards what carries news over the peer link and answers what repeats an answered report with the leader's token, within the authority window of the leader's proven view and only for machines to which the leader has nothing to say (core/attention). Heartbeats tell the leader who lives. Workers are moved in portions, evenly, near first. On from 400 reports a second for each core of a controller's quota (policy figure shared_reports_from). Found on the way: a follower that had not taken the leader's word sent every worker back (ping-pong, jobs unfinished); refused links counted the followers' own workers as strays, and the lead went round eight times.

--- a/src/adapters/peers.ts
+++ b/src/adapters/peers.ts
@@ -5,14 +5,26 @@
 import type { Link } from '../membership/views.js';
 import type { Log, Tally } from '../logging.js';
 import { parseAddress, type PlatformSettings, type Timing } from '../settings.js';
-import { encodeStatus, StatusReader, type PeerStatus } from '../wire/peers.js';
+import type { IntakeMessage } from '../wire/intake.js';
+import { encodeIntake, encodeStatus, StatusReader, type PeerStatus } from '../wire/peers.js';
+
+/** A link on which more lies unsent is taken for one that does not move. */
+const MAX_UNSENT_BYTES = 256 * 1024;
+
+/** What has been written to other controllers since the start. */
+export interface PeerTraffic {
+  readonly sentMessages: number;
+  readonly sentBytes: number;
+}
 
 export class Peers {
+  #sentMessages = 0;
+  #sentBytes = 0;
   readonly #server: Server;
   readonly #accepted = new Set<Socket>();
   readonly #names: ReadonlySet<string>;
-  /** The links that this node dialled and that are up. */
-  readonly #open = new Set<Socket>();
+  /** The links that this node dialled and that are up, by the node at their other end. */
+  readonly #open = new Map<string, Socket>();
   #toldAt = -Infinity;
 
   constructor(
@@ -25,11 +37,22 @@
     /** What became of the link to a peer, each time that changes or is tried. */
     private readonly onLink: (node: string, link: Link) => void,
     private readonly malformed: Pick<Tally, 'note'>,
+    private readonly onIntake: (message: IntakeMessage) => void,
   ) {
     this.#names = new Set(settings.others.map((other) => other.host_name));
     this.#server = createServer((socket) => this.#accept(socket));
   }
 
+  get traffic(): PeerTraffic {
+    return { sentMessages: this.#sentMessages, sentBytes: this.#sentBytes };
+  }
+
+  #write(socket: Socket, frame: Uint8Array): void {
+    this.#sentMessages += 1;
+    this.#sentBytes += frame.length;
+    socket.write(frame);
+  }
+
   start(): void {
     const { host, port } = parseAddress(this.settings.peer_bind);
     this.#server.on('error', (error) => this.log.error({ error: error.message }, 'peer port'));
@@ -44,7 +67,9 @@
       oldest?.destroy();
     }
     this.#accepted.add(socket);
-    const reader = new StatusReader();
+    const reader = new StatusReader((message) => {
+      if (this.#names.has(message.node)) this.onIntake(message);
+    });
     socket.setTimeout(4 * this.timing.workerLease, () => socket.destroy());
     socket.on('data', (part) => {
       try {
@@ -67,8 +92,16 @@
     const now = this.clock.mono();
     if (now - this.#toldAt < this.timing.tick / 4) return;
     this.#toldAt = now;
-    for (const socket of this.#open)
-      if (socket.writableLength === 0) socket.write(encodeStatus(this.status()));
+    for (const socket of this.#open.values())
+      if (socket.writableLength === 0) this.#write(socket, encodeStatus(this.status()));
+  }
+
+  /** Sends a message about shared reports; false: there is no link, or it does not take what is sent. */
+  sendIntake(to: string, message: IntakeMessage): boolean {
+    const socket = this.#open.get(to);
+    if (socket === undefined || socket.writableLength > MAX_UNSENT_BYTES) return false;
+    this.#write(socket, encodeIntake(message));
+    return true;
   }
 
   async #dial(node: string, address: string): Promise<void> {
@@ -91,7 +124,7 @@
     socket.on('connect', () => {
       connected = true;
       ended = 'lost';
-      this.#open.add(socket);
+      this.#open.set(node, socket);
       this.onLink(node, 'up');
     });
     socket.on('error', ({ code }: NodeJS.ErrnoException) => {
@@ -101,7 +134,7 @@
     const closed = new Promise<void>((resolve) => {
       socket.on('close', () => {
         open = false;
-        this.#open.delete(socket);
+        if (this.#open.get(node) === socket) this.#open.delete(node);
         this.onLink(node, ended);
         resolve();
       });
@@ -112,11 +145,11 @@
       if (connected) {
         if (socket.writableLength > 0 && this.clock.mono() - started > this.timing.workerLease) {
           // What lies there unsent grows old; a link that moves again begins afresh.
-          if (socket.writableLength > 256 * 1024) {
+          if (socket.writableLength > MAX_UNSENT_BYTES) {
             ended = 'silent';
             socket.destroy();
           }
-        } else socket.write(encodeStatus(this.status()));
+        } else this.#write(socket, encodeStatus(this.status()));
       } else if (this.clock.mono() - started > 0.5 * this.timing.workerLease) socket.destroy();
       await Promise.race([closed, this.clock.sleep(toldEvery(this.timing))]);
     }
--- a/src/adapters/server.ts
+++ b/src/adapters/server.ts
@@ -14,7 +14,8 @@
   /** Takes a report's body; `done` is called once with the answer. */
   report(body: unknown, done: (status: number, body: string) => void): void;
   ready(): boolean;
-  describe(): object;
+  /** The status page; brief: without what takes a walk over jobs and machines. */
+  describe(brief?: boolean): object;
   readonly latencies: Pick<Latencies, 'record'>;
   readonly admission: Admission;
   readonly malformed: { note(what: string): void };
@@ -109,7 +110,10 @@
     .all(notAllowed);
   app
     .route('/status')
-    .get((_request, response) => sendJson(response, 200, JSON.stringify(served.describe(), null, 1)))
+    .get((request, response) => {
+      const brief = request.query['brief'] !== undefined;
+      sendJson(response, 200, JSON.stringify(served.describe(brief), null, 1));
+    })
     .all(notAllowed);
   app.all('/v1/report', notAllowed);
   app.use((_request, response) => sendJson(response, 404, '{"error":"no such path"}'));
--- a/src/controller/following.ts
+++ b/src/controller/following.ts
@@ -15,6 +15,8 @@
     private readonly peering: Peering,
     private readonly observing: Observing,
     private readonly deputy: Deputy,
+    /** Whether a worker has reported here for a leader that shares its reports; it does so no more. */
+    private readonly leaveHome: (machine: string) => boolean,
   ) {
     this.#routing = new Routing(common.timing);
   }
@@ -38,14 +40,20 @@
   answer(report: Report, done: (status: number, body: string) => void): void {
     const now = this.common.ports.clock.mono();
     const reach = this.#reach(report.zone);
-    if (this.#routing.isStray(report.machine, report.token, reach, now))
+    // One that reported here has left no leader by coming here again; it has if it comes back from there.
+    if (!this.leaveHome(report.machine) && this.#routing.isStray(report.machine, report.token, reach, now))
       this.observing.strayed(report.machine);
     const route = this.#routing.route(report.machine, report.token, reach, now);
     if (route !== 'here') {
       done(421, encodeRedirect(route === 'on' ? reach.leader : null));
       return;
     }
-    const { token } = reach;
+    this.answerAlone(report, done);
+  }
+
+  /** Answers a worker in the leader's place, by what is known here of the live jobs. */
+  answerAlone(report: Report, done: (status: number, body: string) => void): void {
+    const token = this.common.standing.highestTerm;
     void this.deputy.answer(report).then((commands) => {
       if (
         commands === null ||
--- a/src/controller/node.ts
+++ b/src/controller/node.ts
@@ -1,5 +1,6 @@
 /** One controller: the owner, and the parts around it that lead, follow, talk with peers and serve users. */
 import { Admission } from '../adapters/admission.js';
+import type { PeerTraffic } from '../adapters/peers.js';
 import { Users } from '../adapters/users.js';
 import { stateAgeMs, type Common, type Ports, type Standing } from './common.js';
 import { FORMAT, LEADER_KEY } from '../core/records.js';
@@ -15,17 +16,25 @@
 import { Owner } from '../owner.js';
 import { Observing } from './observing.js';
 import { Peering } from './peering.js';
+import { ReportIntake } from './report-intake.js';
+import { SharedReports } from './shared-reports.js';
 import { createElection } from '../membership/election.js';
 import type { Yield } from '../membership/membership.js';
 import type { Link } from '../membership/views.js';
 import { rulesFor } from '../rules.js';
 import { lastingLimits, timing, type PlatformSettings } from '../settings.js';
 import { lastingLayout, Upgrade } from '../upgrade.js';
+import type { Reply } from '../core/effects.js';
+import type { Report } from '../core/types.js';
+import type { IntakeMessage } from '../wire/intake.js';
 import type { PeerStatus } from '../wire/peers.js';
 import { encodeRedirect, encodeReply, parseReport } from '../wire/workers.js';
 
 export type { Ports };
 
+/** Followers are told the whole at every second tick, as controllers tell one another their status. */
+const TICKS_A_SNAPSHOT = 2;
+
 export class ControllerNode {
   readonly users: Users;
   readonly latencies = new Latencies();
@@ -38,11 +47,18 @@
   readonly #following: Following;
   readonly #election: Election;
   readonly #upgrade: Upgrade;
-  readonly #replies = new Map<number, (status: number, body: string) => void>();
+  readonly #intake: ReportIntake;
+  readonly #shared: SharedReports;
+  readonly #replies = new Map<number, (reply: Reply) => void>();
   /** Tells the other controllers what has changed; set by whoever has the links. */
   tellPeers: () => void = () => undefined;
+  /** Sends a message about shared reports, false if it cannot be sent; set by whoever has the links. */
+  sendIntake: (to: string, message: IntakeMessage) => boolean = () => false;
+  /** What was written to the other controllers; set by whoever has the links. */
+  peerTraffic: () => PeerTraffic = () => ({ sentMessages: 0, sentBytes: 0 });
   readonly #observing: Observing;
   #nextReply = 1;
+  #ticks = 0;
   /** Stamp of the leader's record that this node has stood against, and the term it last handed over. */
   #inherited = 0;
   #yielding = 0;
@@ -79,11 +95,46 @@
     this.#peering = new Peering(
       this.#common,
       () => deputy.hears(),
+      () => this.#intake.isActive,
       (view) => deputy.learn(view),
       () => this.#observing.sights(),
     );
     this.#leading = new Leading(this.#common, this.#peering, this.#observing);
-    this.#following = new Following(this.#common, this.#peering, this.#observing, deputy);
+    this.#following = new Following(this.#common, this.#peering, this.#observing, deputy, (machine) =>
+      this.#intake.leaveHome(machine),
+    );
+    this.#intake = new ReportIntake({
+      clock,
+      timing: times,
+      node: settings.host_name,
+      incarnation,
+      clocksApartMs: 2 * settings.cluster.clock_error_ms,
+      following: () => {
+        const { leader, highestTerm } = standing;
+        const leads = owner.state.leadership !== null;
+        return leads || leader === null || leader === settings.host_name
+          ? null
+          : { leader, term: highestTerm };
+      },
+      send: (to, message) => this.sendIntake(to, message),
+      encodeAnswer: encodeReply,
+      encodeRedirect,
+      answerAlone: (report, done) => this.#following.answerAlone(report, done),
+      route: (report, done) => this.#following.answer(report, done),
+    });
+    this.#shared = new SharedReports(this.#common, {
+      candidates: () => this.#followers(),
+      isTaking: (node) => this.#peering.takesReports(node),
+      send: (to, message) => this.sendIntake(to, message),
+      push: (report, ageMs, answer) =>
+        this.#pushReport(report, ageMs, (reply) =>
+          answer({
+            able: reply.kind === 'commands',
+            pending: this.#needsAttention(report.machine),
+            commands: reply.kind === 'commands' ? reply.commands : [],
+          }),
+        ),
+    });
     this.#election = new Election(
       createElection(settings.host_name, incarnation, times, this.#leading.isWellPlaced ? 0 : 4 * times.tick),
       state,
@@ -159,6 +210,7 @@
 
   onLink(node: string, link: Link): void {
     this.#observing.onLink(node, link);
+    if (link !== 'up') this.#intake.linkLost(node);
   }
 
   onPeer(status: PeerStatus): void {
@@ -168,6 +220,36 @@
     this.#observing.onPeer(status);
   }
 
+  /** A message about shared reports from another controller. */
+  onIntake(message: IntakeMessage): void {
+    if (!this.#observing.membership.isPresentLife(message)) return;
+    const { standing, owner } = this.#common;
+    if (message.kind === 'reports') this.#shared.receive(message);
+    else if (owner.state.leadership === null && message.term >= standing.highestTerm) {
+      standing.highestTerm = message.term;
+      standing.leader = message.node;
+      this.#intake.receive(message);
+    }
+  }
+
+  /** Followers that may take reports: heard, linked, keeping up. */
+  #followers(): { node: string; zone: string }[] {
+    const { clock } = this.#common.ports;
+    const { membership } = this.#observing;
+    return this.#common.settings.others
+      .filter(({ host_name }) => membership.keepsUp(host_name, clock.mono()))
+      .map(({ host_name, zone }) => ({ node: host_name, zone }));
+  }
+
+  #needsAttention(name: string): boolean {
+    const { machines, attention } = this.#common.owner.state;
+    const machine = machines.get(name);
+    return machine !== undefined && attention.has(machine);
+  }
+
+  core(): unknown {
+    return this.#common.owner.state;
+  }
   ready(): boolean {
     return this.#peering.ready();
   }
@@ -202,9 +284,21 @@
       this.#observing.tick(Math.max(0, clock.mono() - from - tick));
       const { doubtsItself, isBusy } = this.#observing;
       this.#common.owner.push({ kind: 'tick', doubt: doubtsItself, busy: isBusy });
+      this.#tellShared();
     }
   }
 
+  /** A leader tells its followers what they may answer by; a follower tells its leader what it has answered. */
+  #tellShared(): void {
+    if (this.#common.owner.state.leadership === null) {
+      this.#intake.flush();
+      return;
+    }
+    for (const { report, done } of this.#intake.takePending()) this.#answerAsLeader(report, done);
+    this.#ticks += 1;
+    if (this.#ticks % TICKS_A_SNAPSHOT === 0) this.#shared.tell();
+  }
+
   /** The leader has crashed for all the evidence there is: its record may be replaced now. */
   #inherit(): void {
     const { leader, leaderStamp } = this.#common.standing;
@@ -232,7 +326,8 @@
     if (owner.state.leadership?.term === leadership.term) this.#election.tell({ kind: 'handOver', to });
   }
 
-  describe(): object {
+  /** The status page; a brief one leaves out what takes a walk over jobs and machines. */
+  describe(brief = false): object {
     const { state } = this.#common.owner;
     const now = { mono: this.#common.ports.clock.mono(), wall: this.#common.ports.clock.wall() };
     return {
@@ -244,7 +339,13 @@
       peers: this.#observing.describe(),
       format: { reads: FORMAT, inForce: this.#upgrade.record?.format ?? 1 },
       latencyMs: this.latencies.describe(),
-      ...(state.leadership === null ? {} : { lead: describeLead(state, now) }),
+      peerTraffic: this.peerTraffic(),
+      sharedReports: {
+        ...this.#shared.describe(),
+        forwarded: this.#intake.forwarded,
+        answered: this.#intake.answered,
+      },
+      ...(brief || state.leadership === null ? {} : { lead: describeLead(state, now) }),
     };
   }
 
@@ -253,35 +354,52 @@
     if (report === null) {
       this.malformed.note('reports');
       done(400, '{"error":"malformed report"}');
-      return;
-    }
+    } else this.#takeReport(report, done);
+  }
+
+  #takeReport(report: Report, done: (status: number, body: string) => void): void {
     if (this.#common.owner.state.leadership === null) {
       this.#observing.metWorker();
-      this.#following.answer(report, done);
+      if (!this.#intake.take(report, done)) this.#following.answer(report, done);
       return;
     }
-    const reply = this.#nextReply++;
+    const follower = this.#shared.redirect(report);
+    if (follower !== null) {
+      done(421, encodeRedirect(follower));
+      return;
+    }
+    this.#shared.noteDirect(report.machine);
+    this.#answerAsLeader(report, done);
+  }
+
+  #answerAsLeader(report: Report, done: (status: number, body: string) => void): void {
     const from = this.#common.ports.clock.mono();
-    this.#replies.set(reply, (status, text) => {
+    this.#pushReport(report, 0, (reply) => {
       this.latencies.record('report', this.#common.ports.clock.mono() - from);
-      done(status, text);
+      if (reply.kind === 'commands') {
+        done(200, encodeReply(reply.token, reply.commands));
+        return;
+      }
+      // Handed over: whoever leads now is told, and found without trying the others in turn.
+      const { leader } = this.#common.standing;
+      const elsewhere = leader !== null && leader !== this.#common.settings.host_name;
+      done(elsewhere ? 421 : 503, elsewhere ? encodeRedirect(leader) : '{}');
     });
-    this.#common.owner.push({ kind: 'report', reply, report });
+  }
+
+  /** Hands a report to the core, whose reply comes back once. */
+  #pushReport(report: Report, ageMs: number, onReply: (reply: Reply) => void): void {
+    const reply = this.#nextReply++;
+    this.#replies.set(reply, onReply);
+    this.#common.owner.push({ kind: 'report', reply, report, ageMs });
   }
 
   #carryOut(effect: Effect): void {
     switch (effect.kind) {
       case 'reply': {
-        const done = this.#replies.get(effect.reply);
+        const onReply = this.#replies.get(effect.reply);
         this.#replies.delete(effect.reply);
-        if (effect.body.kind === 'commands')
-          done?.(200, encodeReply(effect.body.token, effect.body.commands));
-        else {
-          // Handed over: whoever leads now is told, and found without trying the others in turn.
-          const { leader } = this.#common.standing;
-          const elsewhere = leader !== null && leader !== this.#common.settings.host_name;
-          done?.(elsewhere ? 421 : 503, elsewhere ? encodeRedirect(leader) : '{}');
-        }
+        onReply?.(effect.body);
         break;
       }
       case 'commit':
@@ -324,7 +442,11 @@
       case 'remember':
         void this.#common.ports.state.commit(effect.txn);
         break;
+      case 'attention':
+        this.#shared.attend(effect.machines);
+        break;
       case 'steppedDown':
+        this.#shared.clear();
         this.#common.ports.log.info({ reason: effect.reason }, 'stepped down');
         if (this.#common.standing.leader === this.#common.settings.host_name)
           this.#common.standing.leader = null;
--- a/src/controller/peering.ts
+++ b/src/controller/peering.ts
@@ -32,12 +32,22 @@
     private readonly common: Common,
     /** Machines that this node answers in the leader's place. */
     private readonly hears: () => string[],
+    /** Whether this node takes reports for the leader that it follows. */
+    private readonly isTakingReports: () => boolean,
     /** Takes the live jobs of which a leader has told. */
     private readonly learn: (view: ToldView) => void,
     /** What this node sees of the others, and is asked or answers of machines. */
     private readonly sights: () => Sights,
   ) {}
 
+  /** Whether a node has said of late that it takes reports for the leader of this term. */
+  takesReports(node: string): boolean {
+    const heard = this.#heard.get(node);
+    if (heard === undefined || heard.status.term !== this.term()) return false;
+    const { clock } = this.common.ports;
+    return heard.status.takesReports && clock.mono() - heard.at < this.common.timing.longestReport;
+  }
+
   /** Whether a peer of an earlier format has been heard of late. */
   hearsEarlier(): boolean {
     const now = this.common.ports.clock.mono();
@@ -93,6 +103,7 @@
       quiet: this.#quietZones(),
       hears: state.leadership === null ? this.hears().slice(0, MOST_HEARD) : [],
       provenAt: all ? this.#provenAt() : 0,
+      takesReports: this.isTakingReports(),
       ...this.sights(),
     };
   }
--- a/src/core/effects.ts
+++ b/src/core/effects.ts
@@ -1,4 +1,5 @@
 /** What goes into `step` and what comes out of it. */
+import type { Heartbeat } from './heartbeats.js';
 import type { ChunkName, ClassMemory } from './records.js';
 import type { Layout } from './state.js';
 import type {
@@ -40,7 +41,8 @@
   | { readonly kind: 'tick'; readonly doubt?: boolean; readonly busy?: boolean }
   /** The leadership is handed over: nothing new is begun. */
   | { readonly kind: 'yield' }
-  | { readonly kind: 'report'; readonly reply: number; readonly report: Report }
+  /** `ageMs`: how long ago it arrived at the follower that forwards it. */
+  | { readonly kind: 'report'; readonly reply: number; readonly report: Report; readonly ageMs?: number }
   | { readonly kind: 'direct'; readonly report: Report }
   /** Whether a knock at a machine met somebody; null: there is no word of it. */
   | { readonly kind: 'probed'; readonly machine: string; readonly met: boolean | null }
@@ -59,6 +61,8 @@
       /** The leader before may be alive, blind and still answering workers. */
       readonly haunted?: boolean;
     }
+  /** Followers have answered these machines' reports, which brought no news. */
+  | { readonly kind: 'heartbeats'; readonly heartbeats: readonly Heartbeat[] }
   /** A deputy has heard these machines, so long ago. */
   | { readonly kind: 'relayed'; readonly machines: readonly string[]; readonly ageMs: number }
   | { readonly kind: 'resign'; readonly reason: string }
@@ -115,6 +119,8 @@
     }
   | { readonly kind: 'return'; readonly machines: readonly string[] }
   | { readonly kind: 'remember'; readonly txn: Transaction }
+  /** There has come to be something to say to these machines: their next reports are to reach the leader. */
+  | { readonly kind: 'attention'; readonly machines: readonly string[] }
   | { readonly kind: 'steppedDown'; readonly reason: string }
   | {
       readonly kind: 'log';
--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -1,5 +1,6 @@
 /** Machines: what their reports prove, what they are told, and when they are given up. */
 import { losesBy } from './aims.js';
+import { needAttention, settleAttention } from './attention.js';
 import type { Effect } from './effects.js';
 import { noteError, noteSuccess } from './faults.js';
 import { isDeaf, isDeafTogether, isSignOfLife, noteAnswer, noteHearing } from './hearing.js';
@@ -325,6 +326,7 @@
   const held = release(state, machine);
   if (held === null || lead === null) return;
   const commands = commandsFor(state, machine);
+  settleAttention(state, machine);
   const starts = commands.filter(({ op }) => op === 'start');
   noteAnswer(
     state,
@@ -349,6 +351,7 @@
     if (held !== null) effects.push({ kind: 'reply', reply: held.reply, body: { kind: 'unable' } });
     dropImages(state, machine);
     state.machines.delete(name);
+    state.attention.delete(machine);
     state.touched.add(machine);
     state.placeDirty = true;
   }
@@ -468,7 +471,9 @@
     const { spec } = claim.job;
     if (claim.unwanted || expectedEnd(state, claim, now) <= takenAt) continue;
     const saves = spec.checkpointS > 0 && spec.saveS * 1000 + 2 * longestReport < takenAt - now.mono;
-    if (!saves) claim.unwanted = true;
+    if (saves) continue;
+    claim.unwanted = true;
+    needAttention(state, machine.name);
   }
 }
 
--- a/src/core/jobs.ts
+++ b/src/core/jobs.ts
@@ -3,6 +3,7 @@
  * counts that placing and planning go by are kept with each change, so that neither has to
  * walk over all jobs or all machines for them.
  */
+import { needAttention } from './attention.js';
 import { give, isAtFault, noRoom, take } from './room.js';
 import { isDone, taskKey, type CoreState, type JobState, type LiveClaim, type Machine } from './state.js';
 import type { JobSpec } from './types.js';
@@ -71,6 +72,7 @@
   give(machine.used, spec);
   state.out.get(spec.priority)?.add(claim);
   state.touched.add(machine);
+  needAttention(state, machine.name);
   const use = state.use.get(spec.team) ?? { cpus: 0, gpus: 0, tasks: 0 };
   use.cpus += spec.cpus;
   use.gpus += spec.gpus;
@@ -84,6 +86,7 @@
   const { job, task } = claim;
   const { spec } = job;
   const machine = state.machines.get(claim.machine);
+  needAttention(state, claim.machine);
   job.claims.delete(task);
   state.out.get(spec.priority)?.delete(claim);
   state.halting.delete(claim);
@@ -112,5 +115,7 @@
   job.doneCount += 1;
   // Never started again: what is kept of a job follows what is out or was lost, not its size.
   job.attempts.delete(task);
+  const claim = job.claims.get(task);
+  if (claim !== undefined) needAttention(state, claim.machine);
   recount(state, job);
 }
--- a/src/core/ledger.ts
+++ b/src/core/ledger.ts
@@ -1,4 +1,5 @@
 /** Jobs and attempts: who may be where, what is done, and what of it is committed. */
+import { needAttention } from './attention.js';
 import { chunkKey, encodeChunk, encodeSmallChunk, endedKey, jobKey, TERM_KEY } from './records.js';
 import type { CommitOutcome, Effect, LoadedChunk, Recheck } from './effects.js';
 import { log } from './log.js';
@@ -142,6 +143,7 @@
  */
 export function endJob(state: CoreState, job: JobState, stage: FinalStage, final: Final | null): void {
   job.over = stage;
+  for (const { machine } of job.claims.values()) needAttention(state, machine);
   recount(state, job);
   leavePipeline(state, job, final);
   enlist(state, job);
--- a/src/core/preempt.ts
+++ b/src/core/preempt.ts
@@ -4,6 +4,7 @@
  * room is free on proof alone, as ever. Nothing is stopped that would end about as soon, and what was
  * stopped once gains a checkpoint's progress before it is stopped again.
  */
+import { needAttention } from './attention.js';
 import { cheapSlots, hasDeadline } from './aims.js';
 import { expectedEnd } from './fleet.js';
 import { fits, give, roomOf, sum, take } from './room.js';
@@ -170,6 +171,7 @@
   for (const way of ways.slice(0, count)) {
     for (const claim of way.victims) {
       claim.unwanted = true;
+      needAttention(state, claim.machine);
       claim.job.stoppedAt = now.mono;
       state.halting.add(claim);
       stopped += 1;
--- a/src/core/state.ts
+++ b/src/core/state.ts
@@ -83,6 +83,8 @@
   readonly headroom: (job: JobSpec) => number;
   /** Time in which the memory of that most fades to a third, in milliseconds. */
   readonly headroomMemory: number;
+  /** Number of machines from which on followers take reports, too. */
+  readonly sharedReportsFrom: number;
 }
 
 /** A task put on a machine and not yet proven gone from it. */
@@ -311,6 +313,9 @@
   readonly machines: Map<string, Machine>;
   /** Machines whose report waits for an answer. */
   readonly held: Set<Machine>;
+  /** Machines to which there may be something to say, and those that came to be so in this step. */
+  readonly attention: Set<Machine>;
+  readonly newAttention: string[];
   /** Of these, those whose report came in with this step. */
   readonly answerable: Machine[];
   /** Jobs of which something may have to be written, by what for; those waiting longest first. */
@@ -445,6 +450,8 @@
     jobs: new Map(),
     machines: new Map(),
     held: new Set(),
+    attention: new Set(),
+    newAttention: [],
     unsaved: { start: new Set(), end: new Set(), exit: new Set(), clean: new Set() },
     mono: 0,
     answerable: [],
@@ -499,6 +506,8 @@
   state.jobs.clear();
   state.machines.clear();
   state.held.clear();
+  state.attention.clear();
+  state.newAttention.length = 0;
   for (const jobs of Object.values(state.unsaved)) jobs.clear();
   state.answerable.length = 0;
   state.waiting.clear();
--- a/src/core/step.ts
+++ b/src/core/step.ts
@@ -15,6 +15,7 @@
   takeReport,
 } from './fleet.js';
 import { addJob, chunkRange, endJob, loadChunks, nextCommit, settleCommit, settleRecheck } from './ledger.js';
+import { takeHeartbeat } from './heartbeats.js';
 import { log } from './log.js';
 import { nextQuestion, settleQuestion } from './pipelines.js';
 import { settleProbe } from './probing.js';
@@ -47,6 +48,12 @@
   return state.leadership !== null && now.mono < state.leadership.authorityUntil;
 }
 
+/** A machine was heard when its report came to a controller, not when the leader has read it. */
+function noteAge(state: CoreState, name: string, ageMs: number): void {
+  const machine = state.machines.get(name);
+  if (machine?.heardAt != null) machine.heardAt -= ageMs;
+}
+
 function onReport(
   state: CoreState,
   command: Extract<Command, { kind: 'report' }>,
@@ -64,6 +71,7 @@
   // What it tells is as true without authority to answer. Passed over through a whole outage, a fleet
   // looked silent at its end: 550 live machines were given back within three seconds.
   const isNews = state.leadership !== null && takeReport(state, report, now, effects, false);
+  if (isNews) noteAge(state, report.machine, command.ageMs ?? 0);
   if (!isNews || !hasAuthority(state, now)) {
     unable();
     return;
@@ -181,6 +189,9 @@
           machine.relayedAt = Math.max(machine.relayedAt ?? 0, now.mono - command.ageMs);
       }
       break;
+    case 'heartbeats':
+      for (const heartbeat of command.heartbeats) takeHeartbeat(state, heartbeat, now);
+      break;
     case 'probed':
       settleProbe(state, command.machine, command.met, now);
       break;
@@ -257,6 +268,12 @@
   return !state.busy && hearing !== null && hearing.up > 0 && hearing.unheard <= (1 - ENOUGH) * hearing.up;
 }
 
+/** Whether there still is something to say to a machine at the end of a step. */
+function isStillOwed(state: CoreState, name: string): boolean {
+  const machine = state.machines.get(name);
+  return machine !== undefined && state.attention.has(machine);
+}
+
 export function step(state: CoreState, commands: readonly Command[], now: Now): Effect[] {
   const effects: Effect[] = [];
   state.mono = now.mono;
@@ -291,6 +308,11 @@
   const ids = nextQuestion(state, now);
   if (ids !== null) effects.push({ kind: 'resolve', ids });
   answerReports(state, now, ticked || settled, effects);
+  if (state.newAttention.length > 0) {
+    // What was answered in this step has been told; of the rest the followers learn.
+    const machines = state.newAttention.splice(0).filter((name) => isStillOwed(state, name));
+    if (machines.length > 0) effects.push({ kind: 'attention', machines });
+  }
   if (ticked) {
     if (!state.busy) raiseTokens(state, now, effects);
     if (planning && mayAct(state) && now.mono >= state.planAt) {
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -82,6 +82,13 @@
     return this.#peers.get(node)?.formerLives.includes(incarnation) !== true;
   }
 
+  /** Whether a peer is heard, its link is up, and it is not behind its timers. */
+  keepsUp(node: string, now: number): boolean {
+    const peer = this.#peers.get(node);
+    if (peer?.view == null || peer.link !== 'up') return false;
+    return this.isHeard(node, now) && peer.view.lateMs < 2 * this.timing.tick;
+  }
+
   /** A peer's own word refutes at once what was suspected of it. */
   heard(view: View, now: number): void {
     const peer = this.#peers.get(view.node);
--- a/src/policy.ts
+++ b/src/policy.ts
@@ -30,6 +30,12 @@
   start_bound_s: { scope: 'job', least: 1, most: DAY_S, source: '240.0' },
   deadline_slack: { scope: 'job', least: 0, most: 1, source: '0.5' },
   headroom: { scope: 'job', least: 0, most: 10, source: '1.3' },
+  shared_reports_from: {
+    scope: 'cluster',
+    least: 1,
+    most: 1_000_000_000,
+    source: 'controllers < 2.0 ? 1000000000.0 : 400.0 * report_s * cpu_quota',
+  },
   headroom_memory_s: { scope: 'cluster', least: 1, most: DAY_S, source: '20.0 * lease_s' },
 } as const satisfies Record<string, Figure>;
 
@@ -45,6 +51,7 @@
     cancel_s: 'double',
     list_lag_s: 'double',
     controllers: 'double',
+    cpu_quota: 'double',
   },
   job: {
     job_class: 'string',
@@ -101,6 +108,7 @@
     cancel_s: workers.cancel_s,
     list_lag_s: cloud.list_lag_s,
     controllers: settings.others.length + 1,
+    cpu_quota: settings.cluster.quota.cpu,
   };
 }
 
@@ -295,5 +303,6 @@
     deadlineSlack: perJob('deadline_slack'),
     headroom: perJob('headroom'),
     headroomMemory: figure('headroom_memory_s', {}) * 1000,
+    sharedReportsFrom: figure('shared_reports_from', {}),
   };
 }
--- a/src/service.ts
+++ b/src/service.ts
@@ -40,8 +40,11 @@
     (status) => node.onPeer(status),
     (name, link) => node.onLink(name, link),
     node.malformed,
+    (message) => node.onIntake(message),
   );
   node.tellPeers = () => peers.tellNow();
+  node.sendIntake = (to, message) => peers.sendIntake(to, message);
+  node.peerTraffic = () => peers.traffic;
   peers.start();
   node.start();
 }
--- /dev/null
+++ b/src/wire/intake.ts
@@ -0,0 +1,259 @@
+/**
+ * What a leader and the followers that share its reports tell one another: protobuf messages that travel in
+ * a field of the frames between controllers, which versions before sharing skip.
+ */
+import protobuf from 'protobufjs/light.js';
+import type { Heartbeat } from '../core/heartbeats.js';
+import type { ExitReason, Report, ReportedTask, TaskStage, WorkerCommand } from '../core/types.js';
+
+interface Envelope {
+  /** The sender, its life, and the term that it speaks of. */
+  readonly node: string;
+  readonly incarnation: string;
+  readonly term: number;
+  /** Time of day at the sender, in milliseconds: a message that was held back is as old as it is. */
+  readonly at: number;
+}
+
+/** A report that the leader is to answer. */
+export interface ForwardedReport {
+  readonly reference: number;
+  readonly report: Report;
+}
+
+/** From a follower: reports with news, and the heartbeats of machines without. */
+export interface ReportsMessage extends Envelope {
+  readonly kind: 'reports';
+  readonly reports: readonly ForwardedReport[];
+  readonly heartbeats: readonly Heartbeat[];
+}
+
+/** What the leader says to a forwarded report. */
+export interface ForwardedAnswer {
+  readonly reference: number;
+  /** False: the leader may not answer now. */
+  readonly able: boolean;
+  /** More is to be told to the machine: its next report is to be forwarded, too. */
+  readonly pending: boolean;
+  readonly commands: readonly WorkerCommand[];
+}
+
+/** Workers that a follower is to send to another controller. */
+export interface Shed {
+  readonly to: string;
+  readonly count: number;
+}
+
+/** From the leader. */
+export interface AnswersMessage extends Envelope {
+  readonly kind: 'answers';
+  readonly answers: readonly ForwardedAnswer[];
+  /** Counts the leader's messages to this follower: after a gap only a snapshot is of use. */
+  readonly number: number;
+  /** Machines whose next report is to be forwarded: all such (a snapshot), or those that were added. */
+  readonly attention: readonly string[];
+  readonly isSnapshot: boolean;
+  /** Of a snapshot: whether followers are to take reports, and the time of day of the read that proved it. */
+  readonly isSharing: boolean;
+  readonly provenAt: number;
+  readonly shed: Shed | null;
+}
+
+export type IntakeMessage = ReportsMessage | AnswersMessage;
+
+const STAGES: readonly TaskStage[] = ['fetching', 'running', 'saving', 'exited'];
+const EXITS: readonly ExitReason[] = ['done', 'stopped', 'error', 'no_room', 'busy', 'unknown'];
+const OPERATIONS = ['start', 'stop', 'forget'] as const;
+
+/** The message types, to be nested beside those of the peers' status. */
+export const INTAKE_TYPES: Record<string, protobuf.IType> = {
+  IntakeTask: {
+    fields: {
+      job: { type: 'string', id: 1 },
+      task: { type: 'uint32', id: 2 },
+      attempt: { type: 'uint32', id: 3 },
+      stage: { type: 'uint32', id: 4 },
+      // One more than its place among the reasons; 0: none.
+      exit: { type: 'uint32', id: 5 },
+    },
+  },
+  IntakeReport: {
+    fields: {
+      reference: { type: 'uint32', id: 1 },
+      machine: { type: 'string', id: 2 },
+      address: { type: 'string', id: 3 },
+      type: { type: 'string', id: 4 },
+      zone: { type: 'string', id: 5 },
+      spot: { type: 'bool', id: 6 },
+      session: { type: 'double', id: 7 },
+      seq: { type: 'double', id: 8 },
+      token: { type: 'double', id: 9 },
+      hasNotice: { type: 'bool', id: 10 },
+      noticeS: { type: 'double', id: 11 },
+      tasks: { rule: 'repeated', type: 'IntakeTask', id: 12 },
+    },
+  },
+  IntakeHeartbeat: {
+    fields: {
+      machine: { type: 'string', id: 1 },
+      session: { type: 'double', id: 2 },
+      seq: { type: 'double', id: 3 },
+      ageMs: { type: 'uint32', id: 4 },
+    },
+  },
+  IntakeCommand: {
+    fields: {
+      operation: { type: 'uint32', id: 1 },
+      job: { type: 'string', id: 2 },
+      task: { type: 'uint32', id: 3 },
+      attempt: { type: 'uint32', id: 4 },
+      graceS: { type: 'double', id: 5 },
+    },
+  },
+  IntakeAnswer: {
+    fields: {
+      reference: { type: 'uint32', id: 1 },
+      able: { type: 'bool', id: 2 },
+      pending: { type: 'bool', id: 3 },
+      commands: { rule: 'repeated', type: 'IntakeCommand', id: 4 },
+    },
+  },
+  Intake: {
+    fields: {
+      node: { type: 'string', id: 1 },
+      incarnation: { type: 'string', id: 2 },
+      term: { type: 'double', id: 3 },
+      at: { type: 'double', id: 4 },
+      fromLeader: { type: 'bool', id: 5 },
+      reports: { rule: 'repeated', type: 'IntakeReport', id: 6 },
+      heartbeats: { rule: 'repeated', type: 'IntakeHeartbeat', id: 7 },
+      answers: { rule: 'repeated', type: 'IntakeAnswer', id: 8 },
+      number: { type: 'uint32', id: 9 },
+      attention: { rule: 'repeated', type: 'string', id: 10 },
+      isSnapshot: { type: 'bool', id: 11 },
+      isSharing: { type: 'bool', id: 12 },
+      provenAt: { type: 'double', id: 13 },
+      shedTo: { type: 'string', id: 14 },
+      shedCount: { type: 'uint32', id: 15 },
+    },
+  },
+};
+
+interface WireTask {
+  readonly job: string;
+  readonly task: number;
+  readonly attempt: number;
+  readonly stage: number;
+  readonly exit: number;
+}
+interface WireReport extends Omit<Report, 'noticeS' | 'tasks'> {
+  readonly reference: number;
+  readonly hasNotice: boolean;
+  readonly noticeS: number;
+  readonly tasks: readonly WireTask[];
+}
+interface WireCommand {
+  readonly operation: number;
+  readonly job: string;
+  readonly task: number;
+  readonly attempt: number;
+  readonly graceS: number;
+}
+
+/** A message as protobuf has it; fields that are missing have their defaults. */
+export interface WireIntake extends Envelope {
+  readonly fromLeader: boolean;
+  readonly reports: readonly WireReport[];
+  readonly heartbeats: readonly Heartbeat[];
+  readonly answers: readonly (Omit<ForwardedAnswer, 'commands'> & {
+    readonly commands: readonly WireCommand[];
+  })[];
+  readonly number: number;
+  readonly attention: readonly string[];
+  readonly isSnapshot: boolean;
+  readonly isSharing: boolean;
+  readonly provenAt: number;
+  readonly shedTo: string;
+  readonly shedCount: number;
+}
+
+const taskToWire = ({ job, task, attempt, stage, exit }: ReportedTask): WireTask => ({
+  job,
+  task,
+  attempt,
+  stage: STAGES.indexOf(stage),
+  exit: exit === null ? 0 : EXITS.indexOf(exit) + 1,
+});
+
+function taskFromWire({ job, task, attempt, stage, exit }: WireTask): ReportedTask {
+  const known = STAGES[stage] ?? 'running';
+  return { job, task, attempt, stage: known, exit: known === 'exited' ? (EXITS[exit - 1] ?? 'error') : null };
+}
+
+const commandToWire = (command: WorkerCommand): WireCommand => ({
+  operation: OPERATIONS.indexOf(command.op),
+  job: command.job,
+  task: command.task,
+  attempt: command.attempt,
+  graceS: command.op === 'stop' ? command.graceS : 0,
+});
+
+function commandFromWire({ operation, job, task, attempt, graceS }: WireCommand): WorkerCommand[] {
+  const op = OPERATIONS[operation];
+  if (op === undefined) return [];
+  return [op === 'stop' ? { op, job, task, attempt, graceS } : { op, job, task, attempt }];
+}
+
+/** A message as protobuf takes it. */
+export function intakeToWire(message: IntakeMessage): object {
+  const { kind, ...rest } = message;
+  if (kind === 'reports')
+    return {
+      ...rest,
+      fromLeader: false,
+      reports: message.reports.map(({ reference, report }) => ({
+        ...report,
+        reference,
+        hasNotice: report.noticeS !== null,
+        noticeS: report.noticeS ?? 0,
+        tasks: report.tasks.map(taskToWire),
+      })),
+    };
+  return {
+    ...rest,
+    fromLeader: true,
+    answers: message.answers.map((answer) => ({ ...answer, commands: answer.commands.map(commandToWire) })),
+    shedTo: message.shed?.to ?? '',
+    shedCount: message.shed?.count ?? 0,
+  };
+}
+
+/** The message that protobuf has read. */
+export function intakeFromWire(wire: WireIntake): IntakeMessage {
+  const { node, incarnation, term, at } = wire;
+  const envelope = { node, incarnation, term, at };
+  if (!wire.fromLeader)
+    return {
+      kind: 'reports',
+      ...envelope,
+      heartbeats: wire.heartbeats,
+      reports: wire.reports.map(({ reference, hasNotice, noticeS, tasks, ...report }) => ({
+        reference,
+        report: { ...report, noticeS: hasNotice ? noticeS : null, tasks: tasks.map(taskFromWire) },
+      })),
+    };
+  return {
+    kind: 'answers',
+    ...envelope,
+    answers: wire.answers.map((answer) => ({
+      ...answer,
+      commands: answer.commands.flatMap(commandFromWire),
+    })),
+    number: wire.number,
+    attention: wire.attention,
+    isSnapshot: wire.isSnapshot,
+    isSharing: wire.isSharing,
+    provenAt: wire.provenAt,
+    shed: wire.shedTo === '' ? null : { to: wire.shedTo, count: wire.shedCount },
+  };
+}
--- a/src/wire/peers.ts
+++ b/src/wire/peers.ts
@@ -1,5 +1,6 @@
 /** What controllers tell one another: length-delimited protobuf messages. */
 import protobuf from 'protobufjs/light.js';
+import { INTAKE_TYPES, intakeFromWire, intakeToWire, type IntakeMessage, type WireIntake } from './intake.js';
 import { LINKS, type Link, type Sight, type View } from '../membership/views.js';
 
 export interface JobCount {
@@ -29,6 +30,8 @@
    * 0: none, or the counts do not list every live job.
    */
   readonly provenAt: number;
+  /** It takes reports for the leader that it follows; versions before shared reports say nothing. */
+  readonly takesReports: boolean;
 }
 
 export interface QuietZone {
@@ -38,6 +41,7 @@
 
 const root = protobuf.Root.fromJSON({
   nested: {
+    ...INTAKE_TYPES,
     JobCount: {
       fields: {
         id: { type: 'string', id: 1 },
@@ -83,6 +87,10 @@
         round: { type: 'uint32', id: 18 },
         met: { type: 'uint32', id: 19 },
         unmet: { type: 'uint32', id: 20 },
+        // Versions before shared reports leave these out. A frame that carries an intake message names no
+        // node, so that they pass it over.
+        takesReports: { type: 'bool', id: 21 },
+        intake: { type: 'Intake', id: 22 },
       },
     },
   },
@@ -97,8 +105,16 @@
   return statusType.encodeDelimited({ ...status, sees }).finish();
 }
 
+/** A frame that carries a message about shared reports, and no status. */
+export function encodeIntake(message: IntakeMessage): Uint8Array {
+  return statusType.encodeDelimited({ node: '', intake: intakeToWire(message) }).finish();
+}
+
 type WireSight = Omit<Sight, 'link'> & { readonly link: number };
-type WireStatus = Omit<PeerStatus, 'sees'> & { readonly sees: readonly WireSight[] };
+type WireStatus = Omit<PeerStatus, 'sees'> & {
+  readonly sees: readonly WireSight[];
+  readonly intake: WireIntake | null;
+};
 
 const decodeSight = ({ node, ageMs, link }: WireSight): Sight => ({
   node,
@@ -110,6 +126,11 @@
 export class StatusReader {
   #rest: Uint8Array = new Uint8Array(0);
 
+  constructor(
+    /** Takes the messages about shared reports. */
+    private readonly onIntake: (message: IntakeMessage) => void = () => undefined,
+  ) {}
+
   push(part: Uint8Array): PeerStatus[] {
     this.#rest = this.#rest.length === 0 ? part : Buffer.concat([this.#rest, part]);
     const found: PeerStatus[] = [];
@@ -118,7 +139,9 @@
       if (frame === null) return found;
       const message = statusType.decode(frame);
       const decoded = statusType.toObject(message, { defaults: true, arrays: true }) as WireStatus;
-      found.push({ ...decoded, sees: decoded.sees.map(decodeSight) });
+      const { intake, ...status } = decoded;
+      if (intake !== null) this.onIntake(intakeFromWire(intake));
+      else found.push({ ...status, sees: status.sees.map(decodeSight) });
     }
   }
 
--- a/test/standins/world.ts
+++ b/test/standins/world.ts
@@ -5,6 +5,8 @@
 import { createPolicy } from '../../src/policy.js';
 import { lastingLimits, parseSettings, timing, type PlatformSettings } from '../../src/settings.js';
 import type { Link } from '../../src/membership/views.js';
+import type { IntakeMessage } from '../../src/wire/intake.js';
+import { encodeIntake, StatusReader } from '../../src/wire/peers.js';
 import { Checker, type OnMachine, type SubmittedJob } from './checker.js';
 import { ProcessClock, VirtualClock } from './clock.js';
 import { CloudStandin, TYPES, Worker } from './cloud.js';
@@ -60,8 +62,12 @@
   round: 0,
   met: 0,
   unmet: 0,
+  takesReports: false,
 };
 
+/** Set to play any test of this world with reports shared among controllers. */
+const SHARES_ALWAYS = process.env['SHARING'] !== undefined;
+
 /** What differs from the usual world. */
 export interface WorldOptions {
   readonly cpusMax?: number;
@@ -71,6 +77,8 @@
   readonly keepLog?: boolean;
   /** Copies of reports come late, from seconds to well over a lease, at any controller. */
   readonly copies?: boolean;
+  /** Followers take reports for the leader, however few the machines are. */
+  readonly sharing?: boolean;
   /** All controllers begin as the version before pipelines. */
   readonly earlier?: boolean;
 }
@@ -83,6 +91,8 @@
 }
 
 interface Life {
+  /** Frames on their way to another process, in order. */
+  readonly sent: Map<Life, Uint8Array[]>;
   readonly earlier: boolean;
   readonly node: ControllerNode;
   readonly clock: ProcessClock;
@@ -357,11 +367,15 @@
         { level: 'info', base: null, timestamp: false },
         { write: (line) => this.#write(name, line) },
       ),
-      policy: createPolicy(settings),
+      policy: createPolicy(
+        settings,
+        (this.options.sharing ?? SHARES_ALWAYS) ? 'shared_reports_from = 1.0' : '',
+      ),
       incarnation: `life-${this.#incarnations++}`,
     });
-    this.#lives.set(name, { earlier, node, clock });
+    this.#lives.set(name, { sent: new Map(), earlier, node, clock });
     node.tellPeers = () => this.#tell(name, false);
+    node.sendIntake = (to, message) => this.#sendIntake(name, to, message);
     node.start();
   }
 
@@ -457,6 +471,28 @@
     }
   }
 
+  /** Messages about shared reports, over a connection that keeps their order; false: there is none. */
+  #sendIntake(from: string, to: string, message: IntakeMessage): boolean {
+    const own = this.#lives.get(from);
+    const other = this.#lives.get(to);
+    if (own === undefined || other === undefined || !own.clock.alive || !other.clock.alive) return false;
+    if (this.isRefused() || own.earlier || other.earlier) return false;
+    // What is lost leaves a gap in the numbers; all else arrives in order, the later with the earlier.
+    if (this.network.isDeaf(to)) return true;
+    const queue = own.sent.get(other) ?? [];
+    own.sent.set(other, queue);
+    // Values cross the wire: nobody may share an object with another process.
+    const frame = encodeIntake(message);
+    queue.push(frame);
+    this.network.send(from, to, () => {
+      const due = queue.splice(0, queue.indexOf(frame) + 1);
+      if (this.isRefused()) return;
+      const reader = new StatusReader((told) => other.node.onIntake(told));
+      for (const next of due) other.clock.awake(() => reader.push(next));
+    });
+    return true;
+  }
+
   /** A node that takes users' connections now, or null. */
   #reachable(): Life | null {
     const alive = [...this.#lives.values()].filter(({ clock }) => clock.alive);
--- a/test/wire.test.ts
+++ b/test/wire.test.ts
@@ -26,6 +26,7 @@
   round: 3,
   met: 1,
   unmet: 7,
+  takesReports: true,
 };
 
 test('peer messages survive any cutting of the stream', () => {
