--- a/src/controller/report-intake.ts
+++ b/src/controller/report-intake.ts
@@ -291,8 +291,7 @@
       if (waiting === undefined) continue;
       const { machine, session, seq } = waiting.report;
       const known = this.#known.get(machine);
-      if (known?.session === session && known.seq === seq)
-        known.isAnswered = able && !pending && commands.length === 0;
+      if (known?.session === session && known.seq === seq) known.isAnswered = able && commands.length === 0;
       if (pending) this.#view?.attention.add(machine);
       if (able) waiting.done(200, this.context.encodeAnswer(message.term, commands));
       else this.context.answerAlone(waiting.report, waiting.done);
--- /dev/null
+++ b/test/shared-reports.test.ts
@@ -0,0 +1,549 @@
+/** Reports that followers take for the leader: each guard with a test that fails without it. */
+import fc from 'fast-check';
+import { describe, expect, test } from 'vitest';
+import type { Effect } from '../src/core/effects.js';
+import type { Common } from '../src/controller/common.js';
+import { ReportIntake, type IntakeContext } from '../src/controller/report-intake.js';
+import { SharedReports } from '../src/controller/shared-reports.js';
+import { balance, chooseFollower, isSharedAt } from '../src/membership/sharing.js';
+import { toldEvery } from '../src/membership/table.js';
+import { createPolicy } from '../src/policy.js';
+import { rulesFor } from '../src/rules.js';
+import { timing } from '../src/settings.js';
+import type { AnswersMessage, IntakeMessage, ReportsMessage } from '../src/wire/intake.js';
+import { encodeIntake, StatusReader } from '../src/wire/peers.js';
+import { atWork, CANCEL, DEPUTY_SEED, endsWell } from './standins/at-work.js';
+import { ProcessClock, VirtualClock } from './standins/clock.js';
+import { CoreBench, job, report, task, TERM } from './standins/core.js';
+import { drawDay, NODES, seeded, testSettings, World } from './standins/world.js';
+
+const TIMES = timing(testSettings(0));
+const RUNNING = [task('req-1/0', 1, 'running')];
+
+/** A follower's intake between a leader and workers that are driven by hand. */
+class IntakeBench {
+  readonly world = new VirtualClock();
+  readonly clock = new ProcessClock(this.world, 1, 0);
+  readonly sent: ReportsMessage[] = [];
+  readonly alone: string[] = [];
+  readonly routed: string[] = [];
+  leader: string | null = 'n-0';
+  linked = true;
+  number = 0;
+  readonly intake: ReportIntake;
+
+  constructor() {
+    const context: IntakeContext = {
+      clock: this.clock,
+      timing: TIMES,
+      node: 'n-1',
+      incarnation: 'life',
+      clocksApartMs: 200,
+      following: () => (this.leader === null ? null : { leader: this.leader, term: TERM }),
+      send: (_to, message) => {
+        if (this.linked && message.kind === 'reports') this.sent.push(message);
+        return this.linked;
+      },
+      encodeAnswer: (term, commands) => JSON.stringify({ term, commands }),
+      encodeRedirect: (to) => to,
+      answerAlone: ({ machine }, done) => {
+        this.alone.push(machine);
+        done(200, 'alone');
+      },
+      route: ({ machine }, done) => {
+        this.routed.push(machine);
+        done(421, '');
+      },
+    };
+    this.intake = new ReportIntake(context);
+  }
+
+  message(more: Partial<AnswersMessage> = {}): AnswersMessage {
+    this.number += 1;
+    return {
+      kind: 'answers',
+      node: 'n-0',
+      incarnation: 'leader-life',
+      term: TERM,
+      at: this.clock.wall(),
+      number: this.number,
+      answers: [],
+      attention: [],
+      isSnapshot: false,
+      isSharing: true,
+      provenAt: 0,
+      shed: null,
+      ...more,
+    };
+  }
+
+  snapshot(more: Partial<AnswersMessage> = {}): void {
+    this.intake.receive(this.message({ isSnapshot: true, provenAt: this.clock.wall(), ...more }));
+  }
+
+  /** Takes a report; the result: how it was answered at once, or that it was forwarded. */
+  async take(seq: number, tasks = RUNNING, more: Parameters<typeof report>[3] = {}): Promise<string> {
+    let told = 'waits';
+    const before = this.intake.forwarded;
+    if (!this.intake.take(report('m', seq, tasks, more), (status, body) => (told = `${status} ${body}`)))
+      return 'not taken';
+    await this.world.runUntil(this.world.now + 10);
+    return this.intake.forwarded > before ? `forwarded, ${told}` : told;
+  }
+
+  /** The leader's answer to what was forwarded last. */
+  answer(commands: AnswersMessage['answers'][number]['commands'] = [], pending = false): void {
+    const reference = this.sent.at(-1)?.reports.at(-1)?.reference ?? 0;
+    this.intake.receive(this.message({ answers: [{ reference, able: true, pending, commands }] }));
+  }
+
+  /** A worker that the leader has answered, with nothing more to tell it. */
+  static async settled(): Promise<IntakeBench> {
+    const bench = new IntakeBench();
+    bench.snapshot();
+    expect(await bench.take(1)).toBe('forwarded, waits');
+    bench.answer();
+    return bench;
+  }
+}
+
+const LOCAL = `200 ${JSON.stringify({ term: TERM, commands: [] })}`;
+
+describe('a follower answers a report in the leader’s place', () => {
+  test('when it repeats what the leader has answered, and tells the leader of it', async () => {
+    const bench = await IntakeBench.settled();
+    expect(await bench.take(2)).toBe(LOCAL);
+    bench.intake.flush();
+    expect(bench.sent.at(-1)?.heartbeats).toMatchObject([{ machine: 'm', session: 1, seq: 2 }]);
+  });
+
+  const news: readonly [string, (bench: IntakeBench) => Promise<string>][] = [
+    [
+      'the leader has something to say',
+      (bench) => (bench.intake.receive(bench.message({ attention: ['m'] })), bench.take(2)),
+    ],
+    ['its tasks changed', (bench) => bench.take(2, [task('req-1/0', 1, 'saving')])],
+    ['a task of it ended', (bench) => bench.take(2, [task('req-1/0', 1, 'exited', 'done')])],
+    ['it has not seen the token', (bench) => bench.take(2, RUNNING, { token: TERM - 1 })],
+    ['the cloud will take the machine', (bench) => bench.take(2, RUNNING, { noticeS: 30 })],
+    ['a report in between went elsewhere', (bench) => bench.take(3)],
+    ['its session is another', (bench) => bench.take(2, RUNNING, { session: 2 })],
+  ];
+  test.each(news)('not when %s', async (_what, take) => {
+    expect(await take(await IntakeBench.settled())).toMatch(/^forwarded/);
+  });
+
+  test('not when the leader’s last answer carried a command, or it has more to tell', async () => {
+    for (const pending of [false, true]) {
+      const bench = new IntakeBench();
+      bench.snapshot();
+      await bench.take(1);
+      bench.answer(pending ? [] : [{ op: 'start', job: 'req-1', task: 1, attempt: 1 }], pending);
+      expect(await bench.take(2)).toMatch(/^forwarded/);
+    }
+  });
+
+  test('not while an exit waits to be written: only the leader can say when it may be forgotten', async () => {
+    const bench = await IntakeBench.settled();
+    const exited = [task('req-1/0', 1, 'exited', 'done')];
+    await bench.take(2, exited);
+    bench.answer();
+    expect(await bench.take(3, exited)).toMatch(/^forwarded/);
+  });
+
+  test('not beyond the authority window of the read that proved the leader’s view', async () => {
+    const bench = await IntakeBench.settled();
+    const provenAt = bench.clock.wall();
+    await bench.world.runUntil(TIMES.authority - 200 - 100);
+    bench.snapshot({ provenAt });
+    expect(await bench.take(2)).toMatch(/^forwarded/);
+    bench.answer();
+    bench.snapshot({ provenAt });
+    expect(await bench.take(3)).toBe(LOCAL);
+    await bench.world.runUntil(bench.world.now + 200);
+    expect(await bench.take(4)).toMatch(/^forwarded/);
+  });
+
+  test('not after a gap in the leader’s words, until it has told the whole', async () => {
+    const bench = await IntakeBench.settled();
+    bench.message();
+    bench.intake.receive(bench.message());
+    expect(await bench.take(2)).toBe('not taken');
+    bench.snapshot();
+    expect(await bench.take(2)).toBe(LOCAL);
+  });
+
+  test('not on the word of an earlier message that comes after a newer one', async () => {
+    const bench = await IntakeBench.settled();
+    const earlier = bench.message({ isSnapshot: true, provenAt: bench.clock.wall() });
+    bench.snapshot({ attention: ['m'] });
+    bench.intake.receive(earlier);
+    expect(await bench.take(2)).toMatch(/^forwarded/);
+  });
+
+  test('not once snapshots have stopped, nor for another leader', async () => {
+    const bench = await IntakeBench.settled();
+    await bench.world.runUntil(3 * toldEvery(TIMES));
+    expect(await bench.take(2)).toBe('not taken');
+    bench.snapshot();
+    bench.leader = 'n-2';
+    expect(await bench.take(2)).toBe('not taken');
+  });
+
+  test('not a copy of an earlier report: it is no sign of life', async () => {
+    const bench = await IntakeBench.settled();
+    await bench.take(2);
+    expect(await bench.take(1)).toBe('503 {}');
+    bench.intake.flush();
+    expect(bench.sent.flatMap(({ heartbeats }) => heartbeats)).toHaveLength(1);
+  });
+
+  test('and lets the leader hear each machine in full every so often', async () => {
+    const bench = await IntakeBench.settled();
+    const from = bench.world.now;
+    let seq = 1;
+    while (!(await bench.take(++seq)).startsWith('forwarded')) {
+      await bench.world.runUntil(bench.world.now + 500);
+      bench.snapshot();
+    }
+    expect(bench.world.now - from).toBeLessThan(TIMES.workerLease);
+  });
+});
+
+test('a forwarded report that gets no answer is answered without the leader before its worker gives it up', async () => {
+  const bench = new IntakeBench();
+  bench.snapshot();
+  await bench.take(1);
+  await bench.world.runUntil(3500);
+  expect(bench.alone).toEqual(['m']);
+  // The answer that comes after all reaches nobody.
+  bench.answer([{ op: 'start', job: 'req-1', task: 1, attempt: 1 }]);
+  expect(bench.alone).toEqual(['m']);
+});
+
+test('when the link to the leader is lost, what waits is routed as without shared reports', async () => {
+  const bench = new IntakeBench();
+  bench.snapshot();
+  await bench.take(1);
+  bench.intake.linkLost('n-0');
+  expect(bench.routed).toEqual(['m']);
+  expect(await bench.take(2)).toBe('not taken');
+});
+
+test('a new leader is told again what waits for the answer of the one before', async () => {
+  const bench = new IntakeBench();
+  bench.snapshot();
+  await bench.take(1);
+  bench.leader = 'n-2';
+  bench.number = 0;
+  bench.intake.receive({ ...bench.message({ isSnapshot: true }), node: 'n-2', incarnation: 'other' });
+  await bench.world.runUntil(bench.world.now + 10);
+  expect(bench.sent.flatMap(({ reports }) => reports.map((one) => one.report.machine))).toEqual(['m', 'm']);
+});
+
+describe('a heartbeat', () => {
+  const machineOf = (
+    bench: CoreBench,
+  ): { heardAt: number | null; seq: number; claims: ReadonlyMap<string, unknown> } =>
+    bench.state.machines.get('m') as never;
+  const running = (): CoreBench => {
+    const bench = new CoreBench();
+    bench.hear(report('m', 1));
+    bench.add(job('req-1', 1, 4, 50));
+    bench.hear(report('m', 2));
+    bench.hear(report('m', 3, RUNNING));
+    return bench;
+  };
+
+  test('says that a machine lives as of when it came, and proves nothing absent', () => {
+    const bench = running();
+    bench.now += 1000;
+    bench.do({ kind: 'heartbeats', heartbeats: [{ machine: 'm', session: 1, seq: 4, ageMs: 300 }] });
+    expect(machineOf(bench)).toMatchObject({ heardAt: bench.now - 300, seq: 4 });
+    expect(machineOf(bench).claims.size).toBe(1);
+  });
+
+  test.each([
+    ['of an earlier report', { session: 1, seq: 3, ageMs: 0 }],
+    ['of a session that this leader has not heard of', { session: 2, seq: 9, ageMs: 0 }],
+  ])('%s changes nothing', (_what, heartbeat) => {
+    const bench = running();
+    const { heardAt } = machineOf(bench);
+    bench.now += 1000;
+    bench.do({ kind: 'heartbeats', heartbeats: [{ machine: 'm', ...heartbeat }] });
+    expect(machineOf(bench)).toMatchObject({ heardAt, seq: 3 });
+  });
+
+  test('of a machine that has not shown this leader its token changes nothing', () => {
+    const bench = new CoreBench();
+    bench.hear(report('m', 1, [], { token: TERM - 1 }));
+    const { heardAt } = machineOf(bench);
+    bench.now += 1000;
+    bench.do({ kind: 'heartbeats', heartbeats: [{ machine: 'm', session: 1, seq: 2, ageMs: 0 }] });
+    expect(machineOf(bench).heardAt).toBe(heardAt);
+  });
+});
+
+describe('followers learn of a machine to which there is something to say', () => {
+  const told = (effects: readonly Effect[]): string[] =>
+    effects.flatMap((effect) => (effect.kind === 'attention' ? effect.machines : []));
+  const idle = (): CoreBench => {
+    const bench = new CoreBench();
+    bench.hear(report('m', 1));
+    bench.hear(report('m', 2));
+    return bench;
+  };
+
+  test('a start', () => {
+    const bench = idle();
+    expect(told(bench.add(job('req-1', 1, 4, 50)))).toEqual(['m']);
+    // Told with the answer, it is no longer due.
+    bench.hear(report('m', 3));
+    expect(bench.state.attention.size).toBe(0);
+  });
+
+  test('a stop, once its job is cancelled', () => {
+    const bench = idle();
+    bench.add(job('req-1', 1, 4, 50));
+    bench.hear(report('m', 3));
+    bench.hear(report('m', 4, RUNNING));
+    expect(told(bench.do({ kind: 'jobRemoved', id: 'req-1' }))).toEqual(['m']);
+    bench.hear(report('m', 5, RUNNING));
+    // It goes on until the task is proven gone.
+    expect(bench.state.attention.size).toBe(1);
+    bench.hear(report('m', 6));
+    expect(bench.state.attention.size).toBe(0);
+  });
+
+  test('a start that may not be sent yet stays due', () => {
+    const bench = idle();
+    bench.add(job('req-1', 1, 4, 50));
+    bench.proven = false;
+    bench.now += TIMES.leaderLease;
+    bench.hear(report('m', 3));
+    expect(bench.state.attention.size).toBe(1);
+  });
+});
+
+/** A leader's side of shared reports over a core with machines, and followers that are driven by hand. */
+class LeaderBench {
+  readonly core = new CoreBench();
+  readonly clock = new ProcessClock(new VirtualClock(), 1, 0);
+  readonly pushed: string[] = [];
+  readonly sent: IntakeMessage[] = [];
+  taking = true;
+  readonly shared: SharedReports;
+
+  constructor() {
+    const settings = testSettings(0);
+    const rules = rulesFor(settings, createPolicy(settings, 'shared_reports_from = 1.0'));
+    Object.assign(this.core.state, { rules });
+    const ports = { clock: this.clock, log: { info: () => undefined }, incarnation: 'x' };
+    const owner = { state: this.core.state, push: () => undefined };
+    const common = { settings, timing: TIMES, ports, owner, standing: {} } as unknown as Common;
+    this.shared = new SharedReports(common, {
+      candidates: () => [{ node: 'n-1', zone: 'a' }],
+      isTaking: () => this.taking,
+      send: (_to, message) => this.sent.push(message) > 0,
+      push: ({ machine }) => void this.pushed.push(machine),
+    });
+    this.core.hear(report('m', 1));
+    this.core.hear(report('m', 2));
+  }
+
+  receive(more: Partial<ReportsMessage>): void {
+    this.shared.receive({
+      kind: 'reports',
+      node: 'n-1',
+      incarnation: 'y',
+      term: TERM,
+      at: this.clock.wall(),
+      reports: [{ reference: 1, report: report('m', 3) }],
+      heartbeats: [],
+      ...more,
+    });
+  }
+}
+
+describe('a leader that shares its reports', () => {
+  test('takes forwarded reports of its own term that are not as old as to say nothing', () => {
+    const bench = new LeaderBench();
+    bench.receive({});
+    bench.receive({ term: TERM - 1 });
+    bench.receive({ at: bench.clock.wall() - 0.6 * TIMES.workerLease });
+    expect(bench.pushed).toEqual(['m']);
+  });
+
+  test('sends a worker to a follower that takes reports, and not at once again', () => {
+    const bench = new LeaderBench();
+    bench.shared.tell();
+    expect(bench.shared.redirect(report('m', 3))).toBe('n-1');
+    bench.shared.tell();
+    expect(bench.shared.redirect(report('m', 4))).toBeNull();
+  });
+
+  test('keeps a worker whose followers do not take reports for it', () => {
+    const bench = new LeaderBench();
+    bench.taking = false;
+    bench.shared.tell();
+    expect(bench.shared.redirect(report('m', 3))).toBeNull();
+  });
+
+  test('keeps a worker that is to be told something, or whose exit waits to be written', () => {
+    const bench = new LeaderBench();
+    bench.shared.tell();
+    expect(bench.shared.redirect(report('m', 3, [task('req-1/0', 1, 'exited', 'done')]))).toBeNull();
+    bench.core.add(job('req-1', 1, 4, 50));
+    expect(bench.shared.redirect(report('m', 3))).toBeNull();
+  });
+
+  test('tells followers of all that it has something to say to, and of what proved its view', () => {
+    const bench = new LeaderBench();
+    bench.core.add(job('req-1', 1, 4, 50));
+    bench.shared.tell();
+    expect(bench.sent).toMatchObject([{ isSnapshot: true, isSharing: true, attention: ['m'] }]);
+    // One that hands over gives nobody a proof to answer by.
+    bench.core.do({ kind: 'yield' });
+    bench.shared.tell();
+    expect(bench.sent.at(-1)).toMatchObject({ isSnapshot: true, provenAt: 0 });
+  });
+});
+
+test('a report forwarded late was heard when it came to the follower', () => {
+  const bench = new CoreBench();
+  bench.do({ kind: 'report', reply: 1, report: report('m', 1), ageMs: 800 });
+  expect(bench.state.machines.get('m')?.heardAt).toBe(bench.now - 800);
+});
+
+test('messages about shared reports survive the wire, and are no status to versions before', () => {
+  const envelope = { node: 'n-1', incarnation: 'x', term: 7, at: 1e12 };
+  const forwarded = report('m', 9, [task('req-1/0', 2, 'running'), task('req-1/1', 1, 'exited', 'error')], {
+    noticeS: 0,
+  });
+  const messages: IntakeMessage[] = [
+    {
+      kind: 'reports',
+      ...envelope,
+      reports: [{ reference: 3, report: forwarded }],
+      heartbeats: [{ machine: 'k', session: 2, seq: 5, ageMs: 40 }],
+    },
+    {
+      kind: 'answers',
+      ...envelope,
+      number: 4,
+      attention: ['m'],
+      isSnapshot: true,
+      isSharing: true,
+      provenAt: 1e12 - 5,
+      shed: { to: 'n-2', count: 3 },
+      answers: [
+        {
+          reference: 3,
+          able: true,
+          pending: false,
+          commands: [
+            { op: 'start', job: 'req-2', task: 0, attempt: 1 },
+            { op: 'stop', job: 'req-1', task: 0, attempt: 2, graceS: 1.5 },
+            { op: 'forget', job: 'req-1', task: 1, attempt: 1 },
+          ],
+        },
+      ],
+    },
+  ];
+  const found: IntakeMessage[] = [];
+  const reader = new StatusReader((message) => found.push(message));
+  expect(reader.push(Buffer.concat(messages.map(encodeIntake)))).toEqual([]);
+  expect(found).toEqual(messages);
+});
+
+test('workers are spread evenly, near ones first, and sharing does not flap', () => {
+  const load = (
+    node: string,
+    zone: string,
+    workers: number,
+  ): { node: string; zone: string; workers: number } => ({
+    node,
+    zone,
+    workers,
+  });
+  const followers = [load('n-1', 'a', 40), load('n-2', 'b', 35), load('n-3', 'a', 100)];
+  expect(chooseFollower(followers, 'a')).toBe('n-1');
+  expect(chooseFollower(followers, 'c')).toBe('n-2');
+  expect(chooseFollower([], 'a')).toBeNull();
+  expect(balance(followers, 10)).toEqual({ from: 'n-3', to: 'n-2', count: 10 });
+  expect(balance([load('n-1', 'a', 40), load('n-2', 'b', 42)], 10)).toBeNull();
+  expect([isSharedAt(90, 100, false), isSharedAt(90, 100, true), isSharedAt(79, 100, true)]).toEqual([
+    false,
+    true,
+    false,
+  ]);
+});
+
+test('few machines: nothing is shared, whatever happens', async () => {
+  const { world } = await atWork();
+  world.crash(0, 2000);
+  await world.clock.runUntil(world.clock.now + 30_000);
+  expect(world.intakeMessages).toBe(0);
+});
+
+// Sent on to a follower that had not taken the leader's word, workers came back at once, and jobs stood still.
+test('no worker is sent to a follower that does not take reports for this leader', async () => {
+  const { world } = await atWork(3, { sharing: true });
+  const before = world.intakeMessages;
+  await world.clock.runUntil(world.clock.now + 5000);
+  expect(world.intakeMessages).toBeGreaterThan(before);
+  world.losesIntake = true;
+  await world.clock.runUntil(world.clock.now + 120_000);
+  world.losesIntake = false;
+  await endsWell(world);
+  expect(world.checker.lapsed).toBe(0);
+});
+
+test('the gap, with reports shared: refused alone, cancellations confirmed elsewhere, then down for all', async () => {
+  const { world, leader, others, ids } = await atWork(3, { sharing: true });
+  world.state.refuse(NODES[leader] ?? '', 2 * CANCEL);
+  await world.clock.runUntil(world.clock.now + 100);
+  const cancelled = ids.slice(1);
+  for (const id of cancelled)
+    expect(await world.until(world.withdraw(id, NODES[others[0] ?? 0] ?? ''))).toBe(true);
+  world.state.outage(2 * CANCEL);
+  await world.clock.runUntil(world.clock.now + CANCEL);
+  expect(cancelled.reduce((sum, id) => sum + world.checker.out(id), 0)).toBe(0);
+  await endsWell(world, 400_000);
+});
+
+test('followers that hold workers and cannot reach the leader let cancelled work go in time', async () => {
+  const { world, leader, others, ids } = await atWork(DEPUTY_SEED, { sharing: true });
+  // Words between controllers are held back; the leader and its machines are cut apart as well.
+  for (const other of others) world.network.cut(NODES[leader] ?? '', NODES[other] ?? '', 2 * CANCEL);
+  for (const name of world.cloud.workers.keys()) world.network.cut(name, NODES[leader] ?? '', 2 * CANCEL);
+  const cancelled = ids.slice(1);
+  for (const id of cancelled)
+    expect(await world.until(world.withdraw(id, NODES[others[0] ?? 0] ?? ''))).toBe(true);
+  await world.clock.runUntil(world.clock.now + CANCEL);
+  expect(cancelled.reduce((sum, id) => sum + world.checker.out(id), 0)).toBe(0);
+  await endsWell(world, 400_000);
+});
+
+test('days with troubles of every kind and reports shared: no rule is broken, all that was accepted ends', async () => {
+  await fc.assert(
+    fc.asyncProperty(
+      fc.integer({ min: 1, max: 1_000_000 }),
+      fc.integer({ min: 2, max: 14 }),
+      async (seed, faults) => {
+        const world = new World(seeded(seed), { copies: true, sharing: true });
+        drawDay(world, 90_000, faults, { jobs: 16, mostTasks: 6, machines: 8, onCall: true });
+        await world.clock.runUntil(240_000);
+        world.checker.lookForForgotten(130_000, 240_000);
+        expect(world.checker.broken).toEqual([]);
+        expect(world.checker.unfinished()).toEqual([]);
+        expect(world.intakeMessages).toBeGreaterThan(0);
+      },
+    ),
+    {
+      seed: Number(process.env['SEED'] ?? 12),
+      numRuns: Number(process.env['DAYS'] ?? 12),
+      endOnFailure: true,
+    },
+  );
+}, 900_000);
--- a/test/standins/at-work.ts
+++ b/test/standins/at-work.ts
@@ -27,9 +27,11 @@
     tasks = 3,
     /** For so long, from the start on, copies of reports are kept for the next leader. */
     copies = 0,
+    /** Followers take reports for the leader. */
+    sharing = false,
   } = {},
 ): Promise<AtWork> {
-  const world = new World(seeded(seed), { keepLog: true });
+  const world = new World(seeded(seed), { keepLog: true, ...(sharing ? { sharing } : {}) });
   if (copies > 0) world.keepCopies(1, copies);
   world.cloud.capacity = machines;
   const ids = Array.from({ length: jobs }, (_, i) => `req-${String(i).padStart(6, '0')}`);
--- a/test/standins/world.ts
+++ b/test/standins/world.ts
@@ -111,6 +111,9 @@
   readonly broken = new Set<string>();
   /** How long the first task of a job runs, and each after it longer by; others by the draw. */
   readonly runs = new Map<string, readonly [number, number]>();
+  /** Messages about shared reports that controllers have sent; all are lost while this is set. */
+  intakeMessages = 0;
+  losesIntake = false;
   readonly #cancelling = new Set<string>();
   readonly #bodies = new Map<string, object>();
   /** What users were last told that was news: that a job is accepted, done or cancelled. */
@@ -477,8 +480,9 @@
     const other = this.#lives.get(to);
     if (own === undefined || other === undefined || !own.clock.alive || !other.clock.alive) return false;
     if (this.isRefused() || own.earlier || other.earlier) return false;
+    this.intakeMessages += 1;
     // What is lost leaves a gap in the numbers; all else arrives in order, the later with the earlier.
-    if (this.network.isDeaf(to)) return true;
+    if (this.losesIntake || this.network.isDeaf(to)) return true;
     const queue = own.sent.get(other) ?? [];
     own.sent.set(other, queue);
     // Values cross the wire: nobody may share an object with another process.
