--- a/src/controller/report-intake.ts
+++ b/src/controller/report-intake.ts
@@ -66,8 +66,6 @@
 
 /** A worker waits 4 s for an answer; before that it is answered without the leader. */
 const FORWARD_TIMEOUT_MS = 3000;
-/** A report is forwarded at least so often, as a share of a worker's lease, whatever is known of it. */
-const REFRESH_SHARE = 0.6;
 /** Snapshots come at every `toldEvery`; without one for so many of them the leader's view is not known. */
 const SNAPSHOTS_MISSED = 2.5;
 const MAX_PENDING = 5000;
@@ -165,7 +163,8 @@
     if (report.session !== known.session || report.seq !== known.seq + 1) return true;
     if (report.token !== view.term || report.noticeS !== null || hasExit(report)) return true;
     const age = this.context.clock.mono() - known.forwardedAt;
-    return age > REFRESH_SHARE * this.context.timing.workerLease || !isSameContent(report.tasks, known.tasks);
+    // Whatever is known of it, within the time that a cancellation has the leader hears each machine in full.
+    return age > this.context.timing.authority || !isSameContent(report.tasks, known.tasks);
   }
 
   /** Whether the view that the leader has told of is proven freshly enough to answer by. */
