--- a/bench/run.mjs
+++ b/bench/run.mjs
@@ -28,12 +28,12 @@
   const from = JSON.stringify;
   writeFileSync(
     version,
-    `import { createState } from ${from(at('core/state.ts'))};
+    `import { createState } from ${from(at('core/create-state.ts', 'core/state.ts'))};
      import { step } from ${from(at('core/step.ts'))};
      import { rulesFor } from ${from(at('rules.ts', 'node.ts'))};
      import { createPolicy } from ${from(at('policy.ts'))};
      import { parseSettings } from ${from(at('settings.ts'))};
-     export * as records from ${from(at('core/records.ts', 'wire/records.ts'))};
+     export * as records from ${from(at('core/persistence/records.ts', 'core/records.ts', 'wire/records.ts'))};
      export const core = { createState, step, rules: (raw) => {
        const settings = parseSettings(raw); return rulesFor(settings, createPolicy(settings)); } };`,
   );
--- a/src/adapters/reads.ts
+++ b/src/adapters/reads.ts
@@ -5,7 +5,7 @@
  * and read once. docs/reads.md weighs this against other ways.
  */
 import type { Clock } from '../clock.js';
-import { decodeEnded, decodeJob, endedKey, JOB_PREFIX, jobKey, jobOfKey } from '../core/records.js';
+import { decodeEnded, decodeJob, endedKey, JOB_PREFIX, jobKey, jobOfKey } from '../core/persistence/index.js';
 import type { EndedRecord, JobSpec } from '../core/types.js';
 import type { Change } from '../wire/state.js';
 import type { StateService } from './state.js';
--- a/src/adapters/users.ts
+++ b/src/adapters/users.ts
@@ -1,11 +1,10 @@
 /** The users' requests, served by every node straight from the state service. */
 import type { Clock } from '../clock.js';
-import { allows, fits } from '../core/room.js';
-import type { TeamLimits } from '../core/state.js';
+import { allows, fits, REASONS } from '../core/placement/index.js';
+import type { TeamLimits } from '../core/model.js';
 import type { Condition, EndedRecord, JobSpec, MachineType, Write } from '../core/types.js';
-import { endedKey, jobBytes, jobKey } from '../core/records.js';
+import { endedKey, jobBytes, jobKey } from '../core/persistence/index.js';
 import { encodeJobView, JOB_ID, parseSubmission, type JobView } from '../wire/users.js';
-import { REASONS } from '../core/promises.js';
 import { JobReads, type FoundJob } from './reads.js';
 import type { StateService } from './state.js';
 
--- a/src/controller/common.ts
+++ b/src/controller/common.ts
@@ -3,7 +3,7 @@
 import type { StateService } from '../adapters/state.js';
 import type { Workers } from '../adapters/workers.js';
 import type { Clock } from '../clock.js';
-import type { PolicyFigures } from '../core/state.js';
+import type { PolicyFigures } from '../core/model.js';
 import type { Log } from '../logging.js';
 import type { Owner } from '../owner.js';
 import type { PlatformSettings, Timing } from '../settings.js';
@@ -20,7 +20,7 @@
   readonly incarnation: string;
 }
 
-export interface Standing {
+export interface LeadershipView {
   /** The node that leads, as far as this one knows, and the stamp of the record that says so. */
   leader: string | null;
   leaderStamp: number;
@@ -34,7 +34,7 @@
   readonly timing: Timing;
   readonly ports: Ports;
   readonly owner: Owner;
-  readonly standing: Standing;
+  readonly standing: LeadershipView;
 }
 
 /** Milliseconds since the state service last answered this node. */
--- a/src/controller/deputy.ts
+++ b/src/controller/deputy.ts
@@ -15,10 +15,16 @@
 import type { Clock } from '../clock.js';
 import type { Report, WorkerCommand } from '../core/types.js';
 import type { Timing } from '../settings.js';
-import { deputyKey, JOB_PREFIX, jobOfKey, packMachines, type DeputyRecord } from '../core/records.js';
+import {
+  deputyKey,
+  JOB_PREFIX,
+  jobOfKey,
+  packMachines,
+  type DeputyRecord,
+} from '../core/persistence/index.js';
 
 /** The live jobs as a leader knew them, and the time of day of the read that proved it. */
-export interface ToldView {
+export interface LiveJobsSnapshot {
   readonly at: number;
   readonly live: ReadonlySet<string>;
 }
@@ -27,7 +33,7 @@
 const MOST_SEEN = 5000;
 
 export class Deputy {
-  #told: ToldView | null = null;
+  #snapshot: LiveJobsSnapshot | null = null;
 
   readonly #live = new Set<string>();
   readonly #seen = new Map<string, { readonly session: number; readonly seq: number; readonly at: number }>();
@@ -48,16 +54,17 @@
   ) {}
 
   /** Takes in what the leader knows; a word that was held back is older than it is new here. */
-  learn(view: ToldView): void {
-    if (view.at > (this.#told?.at ?? -Infinity)) this.#told = view;
+  receiveSnapshot(snapshot: LiveJobsSnapshot): void {
+    if (snapshot.at > (this.#snapshot?.at ?? -Infinity)) this.#snapshot = snapshot;
   }
 
   /** The jobs that are known to be live, freshly enough to answer by; null: they are not known. */
   #view(): ReadonlySet<string> | null {
     const { authority } = this.timing;
     if (this.clock.mono() < this.#provenAt + authority) return this.#live;
-    if (this.#told === null || this.clock.wall() >= this.#told.at + authority - this.clocksApart) return null;
-    return this.#told.live;
+    if (this.#snapshot === null || this.clock.wall() >= this.#snapshot.at + authority - this.clocksApart)
+      return null;
+    return this.#snapshot.live;
   }
 
   /** What to tell a worker, or null when this node may not answer it. */
--- a/src/controller/election.ts
+++ b/src/controller/election.ts
@@ -1,7 +1,13 @@
 /** Carries out what the election machine asks for, and tells it what came of it. */
 import type { StateService } from '../adapters/state.js';
 import type { Clock } from '../clock.js';
-import { decodeLeader, decodeTerm, LEADER_KEY, TERM_KEY, type LeaderRecord } from '../core/records.js';
+import {
+  decodeLeader,
+  decodeTerm,
+  LEADER_KEY,
+  TERM_KEY,
+  type LeaderRecord,
+} from '../core/persistence/index.js';
 import type { Transaction } from '../core/types.js';
 import {
   electionStep,
@@ -11,11 +17,11 @@
   type Kept,
   type Outcome,
   type Seen,
-  type Won,
+  type ElectionResult,
 } from '../membership/election.js';
 
 export interface ElectionEvents {
-  elected(won: Won): void;
+  elected(won: ElectionResult): void;
   /** Another node may lead. */
   lost(): void;
   leaderKnown(leader: LeaderRecord | null, stamp: number): void;
--- a/src/controller/leading.ts
+++ b/src/controller/leading.ts
@@ -19,9 +19,9 @@
   TERM_KEY,
   type ClassMemory,
   type FormatRecord,
-} from '../core/records.js';
+} from '../core/persistence/index.js';
 import type { EndedRecord, JobSpec, Stamped } from '../core/types.js';
-import type { Won } from '../membership/election.js';
+import type { ElectionResult } from '../membership/election.js';
 import type { Observing } from './observing.js';
 import type { Peering } from './peering.js';
 import type { PlatformSettings } from '../settings.js';
@@ -119,13 +119,13 @@
     const until = ports.clock.mono() + 2 * timing.tick;
     while (ports.clock.mono() < until) {
       await ports.clock.sleep(timing.tick / 8);
-      const { commit, recheck, unsaved } = owner.state;
-      if (commit === null && recheck === null && unsaved.start.size === 0) return;
+      const { commit, recheck, dirtyJobs } = owner.state;
+      if (commit === null && recheck === null && dirtyJobs.start.size === 0) return;
     }
   }
 
   /** Loads what the leaders before have committed, then follows the jobs. */
-  async lead(won: Won): Promise<void> {
+  async lead(won: ElectionResult): Promise<void> {
     this.common.standing.highestTerm = Math.max(this.common.standing.highestTerm, won.term);
     this.common.standing.leader = this.common.settings.host_name;
     this.common.standing.leadingTerm = won.term;
--- a/src/controller/node.ts
+++ b/src/controller/node.ts
@@ -2,10 +2,10 @@
 import { Admission } from '../adapters/admission.js';
 import type { PeerTraffic } from '../adapters/peers.js';
 import { Users } from '../adapters/users.js';
-import { stateAgeMs, type Common, type Ports, type Standing } from './common.js';
-import { FORMAT, LEADER_KEY } from '../core/records.js';
-import type { Effect } from '../core/effects.js';
-import { createState } from '../core/state.js';
+import { stateAgeMs, type Common, type Ports, type LeadershipView } from './common.js';
+import { FORMAT, LEADER_KEY } from '../core/persistence/index.js';
+import type { Effect, Reply } from '../core/effects.js';
+import { createState } from '../core/create-state.js';
 import { Deputy } from './deputy.js';
 import { describeLead } from '../describe.js';
 import { Election } from './election.js';
@@ -19,12 +19,11 @@
 import { ReportIntake } from './report-intake.js';
 import { SharedReports } from './shared-reports.js';
 import { createElection } from '../membership/election.js';
-import type { Yield } from '../membership/membership.js';
+import type { Resignation } from '../membership/membership.js';
 import type { Link } from '../membership/views.js';
 import { rulesFor } from '../rules.js';
 import { lastingLimits, timing, type PlatformSettings } from '../settings.js';
 import { lastingLayout, Upgrade } from '../upgrade.js';
-import type { Reply } from '../core/effects.js';
 import type { Report } from '../core/types.js';
 import type { IntakeMessage } from '../wire/intake.js';
 import type { PeerStatus } from '../wire/peers.js';
@@ -75,7 +74,7 @@
       ({ steadyMs, processorMs }) =>
         this.#observing.membership.pace.worked(steadyMs, processorMs, clock.mono()),
     );
-    const standing: Standing = { leader: null, leaderStamp: 0, highestTerm: 0, leadingTerm: 0 };
+    const standing: LeadershipView = { leader: null, leaderStamp: 0, highestTerm: 0, leadingTerm: 0 };
     this.#common = { settings, timing: times, ports, owner, standing };
     const { value_kb, txn_ops, rps } = lastingLimits(settings);
     const deputy = new Deputy(
@@ -96,7 +95,7 @@
       this.#common,
       () => deputy.hears(),
       () => this.#intake.isActive,
-      (view) => deputy.learn(view),
+      (view) => deputy.receiveSnapshot(view),
       () => this.#observing.sights(),
     );
     this.#leading = new Leading(this.#common, this.#peering, this.#observing);
@@ -316,7 +315,7 @@
   }
 
   /** Hands the leadership to another node: nothing is begun any more, all is written, the node named. */
-  async #handOver({ to, why }: Yield): Promise<void> {
+  async #handOver({ to, why }: Resignation): Promise<void> {
     const { owner, ports } = this.#common;
     const { leadership } = owner.state;
     if (leadership === null || this.#yielding === leadership.term) return;
--- a/src/controller/observing.ts
+++ b/src/controller/observing.ts
@@ -3,7 +3,7 @@
  * carried out: workers' machines are knocked at for a leader, a leader hands over, a crashed one is
  * succeeded.
  */
-import { Membership, type Standing, type Yield } from '../membership/membership.js';
+import { Membership, type Standing, type Resignation } from '../membership/membership.js';
 import { CUT_OFF, STRAYS } from '../membership/table.js';
 import type { Link, View } from '../membership/views.js';
 import { stateAgeMs, type Common } from './common.js';
@@ -16,7 +16,7 @@
   /** The leader that this node follows has crashed: it may be succeeded now. */
   inherit(): void;
   /** This node leads and should not. */
-  yieldTo(to: Yield): void;
+  yieldTo(to: Resignation): void;
   /** The nodes that are to lead rather than others. */
   preferred(): ReadonlySet<string>;
   /** Something has changed that the others should know at once. */
--- a/src/controller/peering.ts
+++ b/src/controller/peering.ts
@@ -1,9 +1,9 @@
 /** Talking with the other controllers: what they are told, and what of theirs is believed. */
-import type { ToldView } from './deputy.js';
+import type { LiveJobsSnapshot } from './deputy.js';
 import { stateAgeMs, type Common } from './common.js';
-import { FORMAT } from '../core/records.js';
-import { settledUntil } from '../core/pipelines.js';
-import { REASONS, whyWaits } from '../core/promises.js';
+import { FORMAT } from '../core/persistence/index.js';
+import { settledUntil } from '../core/jobs/index.js';
+import { REASONS, whyWaits } from '../core/placement/index.js';
 import type { View } from '../membership/views.js';
 import type { JobCount, PeerStatus, QuietZone } from '../wire/peers.js';
 
@@ -35,7 +35,7 @@
     /** Whether this node takes reports for the leader that it follows. */
     private readonly isTakingReports: () => boolean,
     /** Takes the live jobs of which a leader has told. */
-    private readonly learn: (view: ToldView) => void,
+    private readonly receiveSnapshot: (view: LiveJobsSnapshot) => void,
     /** What this node sees of the others, and is asked or answers of machines. */
     private readonly sights: () => Sights,
   ) {}
@@ -163,7 +163,7 @@
     if (!status.leading || status.term < this.common.standing.highestTerm) return;
     if (this.common.owner.state.leadership === null) this.common.standing.leader = status.node;
     if (status.provenAt > 0)
-      this.learn({ at: status.provenAt, live: new Set(status.counts.map(({ id }) => id)) });
+      this.receiveSnapshot({ at: status.provenAt, live: new Set(status.counts.map(({ id }) => id)) });
     this.#counts.clear();
     for (const count of status.counts) this.#counts.set(count.id, count);
   }
--- a/src/controller/report-intake.ts
+++ b/src/controller/report-intake.ts
@@ -5,7 +5,7 @@
  * leader's own proven view, and only for machines to which the leader has nothing to tell.
  */
 import type { Clock } from '../clock.js';
-import type { Heartbeat } from '../core/heartbeats.js';
+import type { Heartbeat } from '../core/fleet/index.js';
 import type { Report, ReportedTask } from '../core/types.js';
 import { toldEvery } from '../membership/table.js';
 import type { Timing } from '../settings.js';
--- a/src/core/attention.ts
+++ b/src/core/attention.ts
@@ -3,7 +3,8 @@
  * place they may do so only for machines that are not among these, so every change that could make an answer
  * carry a command is noted here, when it happens. A machine leaves the set with the answer to its report.
  */
-import { isDone, type CoreState, type LiveClaim, type Machine } from './state.js';
+import { isDone, type LiveClaim, type Machine } from './model.js';
+import type { CoreState } from './state.js';
 
 /** Whether a claim makes the answer to its machine's report carry a command, now or once it is durable. */
 function needsCommand(claim: LiveClaim): boolean {
--- a/src/core/capacity.ts
+++ b/src/core/autoscaling/autoscaler.ts
@@ -1,12 +1,12 @@
 /** Renting and giving back: how much, of what kind, and when. */
 import TinyQueue from 'tinyqueue';
-import { allowedWait, isIdleWork, isThrifty, latestStart } from './aims.js';
-import type { Effect } from './effects.js';
-import { expectedEnd } from './fleet.js';
-import { expectedRun, isReady, waitingTasks } from './jobs.js';
-import { ARRIVALS_OVER } from './keeping.js';
-import { log } from './log.js';
-import { waitingJobs } from './queue.js';
+import { allowedWait, isIdleWork, isThrifty, latestStart } from '../jobs/aims.js';
+import type { Effect } from '../effects.js';
+import { expectedEnd } from '../fleet/machines.js';
+import { expectedRun, isReady, waitingTasks } from '../jobs/jobs.js';
+import { ARRIVALS_OVER } from '../placement/headroom.js';
+import { log } from '../log.js';
+import { waitingJobs } from '../placement/queue.js';
 import {
   allows,
   avoids,
@@ -18,11 +18,12 @@
   take,
   type Need,
   type Room,
-} from './room.js';
-import { onlyType, scarceClasses } from './scarce.js';
-import { isExitKept, type CoreState, type Demand, type JobState, type Machine, type Now } from './state.js';
-import type { JobSpec, MachineType } from './types.js';
-import { MEMORY_KEY, memoryKey, packMemory, TERM_KEY, type ClassMemory } from './records.js';
+} from '../placement/resources.js';
+import { onlyType, scarceClasses } from '../placement/constrained-types.js';
+import { isExitKept, type Demand, type JobState, type Machine, type Now } from '../model.js';
+import type { CoreState } from '../state.js';
+import type { JobSpec, MachineType } from '../types.js';
+import { MEMORY_KEY, memoryKey, packMemory, TERM_KEY, type ClassMemory } from '../persistence/records.js';
 
 const MOST_PER_RENTAL = 50;
 const MOST_RETURNED = 100;
@@ -93,7 +94,7 @@
   for (const machine of state.machines.values()) {
     const type = state.types.get(machine.type);
     if (type === undefined || machine.leaving !== null || machine.takenAt !== null) continue;
-    if (machine.deafSince !== null || isRumour(machine)) continue;
+    if (machine.unresponsiveSince !== null || isRumour(machine)) continue;
     const { name, zone, spot } = machine;
     const booted = machine.rentedAt + type.bootS * 1000;
     // One that is late is expected within half a boot time from now.
--- /dev/null
+++ b/src/core/autoscaling/index.ts
@@ -0,0 +1,2 @@
+/** Renting and returning machines. The area's public face: code outside the core imports from here alone. */
+export * from './autoscaler.js';
--- a/src/core/effects.ts
+++ b/src/core/effects.ts
@@ -1,7 +1,7 @@
 /** What goes into `step` and what comes out of it. */
-import type { Heartbeat } from './heartbeats.js';
-import type { ChunkName, ClassMemory } from './records.js';
-import type { Layout } from './state.js';
+import type { Heartbeat } from './fleet/heartbeats.js';
+import type { ChunkName, ClassMemory } from './persistence/records.js';
+import type { Layout } from './model.js';
 import type {
   Stamped,
   ChunkRecord,
--- a/src/core/faults.ts
+++ b/src/core/fleet/faults.ts
@@ -4,9 +4,10 @@
  * nowhere and fails on several machines was submitted with a mistake. Nothing of this is written down:
  * a new leader learns it from the next few errors.
  */
-import { recount } from './jobs.js';
-import { isAtFault } from './room.js';
-import type { CoreState, JobState, Machine, Now } from './state.js';
+import { recount } from '../jobs/jobs.js';
+import { isAtFault } from '../placement/resources.js';
+import type { JobState, Machine, Now } from '../model.js';
+import type { CoreState } from '../state.js';
 
 /** One that fails on so many is no witness against any of them. */
 const DOUBTFUL_WITNESS = 2;
--- a/src/core/survey.ts
+++ b/src/core/fleet/health-summary.ts
@@ -1,6 +1,7 @@
 /** One walk over the machines at a tick: which zones are heard, and how many machines are silent together. */
 import { shouldSpeak } from './probing.js';
-import type { CoreState, Machine, Now } from './state.js';
+import type { Machine, Now } from '../model.js';
+import type { CoreState } from '../state.js';
 
 /** A zone of which a smaller share is heard may be cut off, or this node be. */
 const LEAST_HEARD = 0.5;
@@ -19,7 +20,7 @@
   last: number;
 }
 
-export interface Survey {
+export interface HealthSummary {
   /** Zones most of whose machines have been heard within one report's time. */
   readonly awake: ReadonlySet<string>;
   /** Zones all of whose machines fell silent together. */
@@ -58,7 +59,7 @@
   return apart;
 }
 
-export function survey(state: CoreState, now: Now): Survey {
+export function summarizeHealth(state: CoreState, now: Now): HealthSummary {
   const { longestReport, workerLease } = state.rules.timing;
   const since = state.leadership?.since ?? now.mono;
   const zones = new Map<string, ZoneCounts>();
--- a/src/core/heartbeats.ts
+++ b/src/core/fleet/heartbeats.ts
@@ -2,7 +2,8 @@
  * Heartbeats: reports without news that a follower has answered in the leader's place. They say that a machine
  * lives and hears its answers, and nothing else. They prove no task absent and free nothing.
  */
-import type { CoreState, Now } from './state.js';
+import type { Now } from '../model.js';
+import type { CoreState } from '../state.js';
 
 /** One machine's latest report without news, as a follower tells of it. */
 export interface Heartbeat {
@@ -26,6 +27,6 @@
   // The follower answers at once, and forwards the next report if it does not come in its time.
   machine.answeredAt = machine.heardAt;
   machine.told = [];
-  machine.deafSince = null;
-  machine.misses = 0;
+  machine.unresponsiveSince = null;
+  machine.missedResponses = 0;
 }
--- a/src/core/fleet.ts
+++ b/src/core/fleet/machines.ts
@@ -1,27 +1,32 @@
 /** Machines: what their reports prove, what they are told, and when they are given up. */
-import { losesBy } from './aims.js';
-import { needAttention, settleAttention } from './attention.js';
-import type { Effect } from './effects.js';
+import { losesBy } from '../jobs/aims.js';
+import { needAttention, settleAttention } from '../attention.js';
+import type { Effect } from '../effects.js';
 import { noteError, noteSuccess } from './faults.js';
-import { isDeaf, isDeafTogether, isSignOfLife, noteAnswer, noteHearing } from './hearing.js';
-import { expectedRun } from './jobs.js';
-import { isDurable, recordStrayDone, releaseClaim } from './ledger.js';
-import { log } from './log.js';
+import {
+  isUnresponsive,
+  isMassUnresponsive,
+  isSignOfLife,
+  recordResponse,
+  observeResponse,
+} from './response-tracking.js';
+import { expectedRun } from '../jobs/jobs.js';
+import { isDurable, recordStrayDone, releaseClaim } from '../persistence/write-back.js';
+import { log } from '../log.js';
 import { isHanging, isUnmet, probe } from './probing.js';
-import { survey } from './survey.js';
-import { noRoom } from './room.js';
+import { summarizeHealth } from './health-summary.js';
+import { noRoom } from '../placement/resources.js';
 import {
   isDone,
   isExitKept,
-  mayAct,
   taskKey,
-  type CoreState,
   type Leadership,
   type LiveClaim,
   type Machine,
   type Now,
-} from './state.js';
-import type { ListedMachine, Report, ReportedTask, WorkerCommand } from './types.js';
+} from '../model.js';
+import { mayAct, type CoreState } from '../state.js';
+import type { ListedMachine, Report, ReportedTask, WorkerCommand } from '../types.js';
 
 const GONE_KEPT = 2000;
 
@@ -41,8 +46,8 @@
     metSince: null,
     answeredAt: null,
     told: [],
-    deafSince: null,
-    misses: 0,
+    unresponsiveSince: null,
+    missedResponses: 0,
     relayedAt: null,
     lapsed: false,
     knownAt: now.mono,
@@ -93,7 +98,7 @@
   return (
     machine.whole &&
     machine.leaving === null &&
-    machine.deafSince === null &&
+    machine.unresponsiveSince === null &&
     machine.takenAt === null &&
     machine.heardAt !== null &&
     now.mono - machine.heardAt < 2 * state.rules.timing.longestReport &&
@@ -227,7 +232,7 @@
     machine.idleSince = now.mono;
     state.placeDirty = true;
   }
-  if (!direct) noteHearing(state, machine, report, now);
+  if (!direct) observeResponse(state, machine, report, now);
   const expired = report.session > machine.session && machine.session > 0;
   if (expired) dropImages(state, machine);
   machine.address = report.address;
@@ -328,7 +333,7 @@
   const commands = commandsFor(state, machine);
   settleAttention(state, machine);
   const starts = commands.filter(({ op }) => op === 'start');
-  noteAnswer(
+  recordResponse(
     state,
     machine,
     starts.map(({ job, task, attempt }) => `${taskKey(job, task)}#${attempt}`),
@@ -507,8 +512,8 @@
 /** Gives up machines that are silent, never came up, or hold cancelled work out of reach. */
 export function judgeMachines(state: CoreState, now: Now, effects: Effect[]): void {
   const { timing } = state.rules;
-  const { awake, apart, deaf, mostSilent, mostUnheard } = survey(state, now);
-  const deafTogether = isDeafTogether(state);
+  const { awake, apart, deaf, mostSilent, mostUnheard } = summarizeHealth(state, now);
+  const deafTogether = isMassUnresponsive(state);
   const usual = mostSilent ? timing.silence : timing.shortSilence;
   // Many that a new leader never heard are one event, not many: the leader before, blind but within
   // its authority, may hold them alive. It gave back 200 of them with 773 tasks. One without tasks
@@ -558,7 +563,7 @@
       if (now.mono > machine.takenAt && silent > 1.5 * timing.longestReport) leave(machine, 'taken');
       else drain(state, machine, machine.takenAt, now);
     }
-    if (!deafTogether && isDeaf(state, machine, now)) {
+    if (!deafTogether && isUnresponsive(state, machine, now)) {
       leave(machine, 'deaf');
       continue;
     }
--- a/src/core/probing.ts
+++ b/src/core/fleet/probing.ts
@@ -3,8 +3,9 @@
  * machines around it are heard, is dead: what ran on it need not wait for as long as a
  * worker that has lost its controller may take to find another.
  */
-import type { Effect } from './effects.js';
-import type { CoreState, Machine, Now } from './state.js';
+import type { Effect } from '../effects.js';
+import type { Machine, Now } from '../model.js';
+import type { CoreState } from '../state.js';
 
 /** So many knocks in a row that met nobody are no chance. */
 const KNOCKS = 2;
--- a/src/core/hearing.ts
+++ b/src/core/fleet/response-tracking.ts
@@ -4,8 +4,9 @@
  * report may be a late copy of one that was sent long ago. Doubt costs a machine new work, nothing else;
  * what is on it is free on proof alone, as ever.
  */
-import { taskKey, type CoreState, type Machine, type Now } from './state.js';
-import type { Report } from './types.js';
+import { taskKey, type Machine, type Now } from '../model.js';
+import type { CoreState } from '../state.js';
+import type { Report } from '../types.js';
 
 /** One that got its answer speaks again within so many of the longest times between two reports. */
 const IN_RHYTHM = 1.25;
@@ -16,17 +17,24 @@
 const MISSES = 2;
 
 /** Remembers an answer. One that was given late may have been dropped for that: it says nothing. */
-export function noteAnswer(state: CoreState, machine: Machine, starts: readonly string[]): void {
+export function recordResponse(state: CoreState, machine: Machine, starts: readonly string[]): void {
   machine.answeredAt = state.busy ? null : state.mono;
   machine.told = state.busy ? [] : starts;
 }
 
 /** Whether a machine has not heard what it is told for so long that it is of no use. */
-export const isDeaf = (state: CoreState, { deafSince, misses }: Machine, now: Now): boolean =>
-  !state.busy && deafSince !== null && misses >= MISSES && now.mono - deafSince > state.rules.timing.silence;
+export const isUnresponsive = (
+  state: CoreState,
+  { unresponsiveSince, missedResponses }: Machine,
+  now: Now,
+): boolean =>
+  !state.busy &&
+  unresponsiveSince !== null &&
+  missedResponses >= MISSES &&
+  now.mono - unresponsiveSince > state.rules.timing.silence;
 
 /** What a report that is newer than the latest says of the answers before it. */
-export function noteHearing(state: CoreState, machine: Machine, report: Report, now: Now): void {
+export function observeResponse(state: CoreState, machine: Machine, report: Report, now: Now): void {
   const { longestReport, workerLease } = state.rules.timing;
   const { answeredAt, session, told } = machine;
   if (answeredAt === null) return;
@@ -37,11 +45,11 @@
   const heard = told.some((start) => listed.has(start));
   const expired = report.session > session && session > 0 && since < workerLease;
   if (heard || (!missed && !expired && since <= IN_RHYTHM * longestReport)) {
-    machine.deafSince = null;
-    machine.misses = 0;
+    machine.unresponsiveSince = null;
+    machine.missedResponses = 0;
   } else if (missed || expired) {
-    machine.deafSince ??= now.mono;
-    machine.misses += 1;
+    machine.unresponsiveSince ??= now.mono;
+    machine.missedResponses += 1;
   }
   machine.told = [];
 }
@@ -59,13 +67,13 @@
 }
 
 /** Whether so many machines do not hear that it is no fault of theirs. */
-export function isDeafTogether(state: CoreState): boolean {
+export function isMassUnresponsive(state: CoreState): boolean {
   let known = 0;
   let deaf = 0;
-  for (const { heardAt, leaving, deafSince } of state.machines.values()) {
+  for (const { heardAt, leaving, unresponsiveSince } of state.machines.values()) {
     if (heardAt === null || leaving !== null) continue;
     known += 1;
-    if (deafSince !== null) deaf += 1;
+    if (unresponsiveSince !== null) deaf += 1;
   }
   return deaf > 1 && deaf > MOST_DEAF * known;
 }
--- a/src/core/aims.ts
+++ b/src/core/jobs/aims.ts
@@ -4,9 +4,10 @@
  * them; one that is lost no longer hurries a job, and the next one does in its time.
  */
 import { expectedRun, startLatency } from './jobs.js';
-import { allows, fits } from './room.js';
-import type { ClassAims, CoreState, JobState, Now } from './state.js';
-import type { JobSpec } from './types.js';
+import { allows, fits } from '../placement/resources.js';
+import type { ClassAims, JobState, Now } from '../model.js';
+import type { CoreState } from '../state.js';
+import type { JobSpec } from '../types.js';
 
 const NONE: ClassAims = { starts: [], deadlines: [], finishes: [] };
 /** What a deadline means to a class of which no aim speaks of it. */
@@ -27,7 +28,7 @@
 /** Tasks of a kind that all cheap machines up now could hold at once. */
 export function cheapSlots(state: CoreState, spec: JobSpec): number {
   let slots = 0;
-  for (const { type, zone, spot, size } of state.sites.groups) {
+  for (const { type, zone, spot, size } of state.capacityIndex.groups) {
     if (!spot || !allows(spec, type.name, zone, spot) || !fits(spec, type)) continue;
     slots += size * Math.floor(Math.min(type.cpus / spec.cpus, type.memoryGb / spec.memoryGb, Infinity));
   }
--- a/src/core/jobs.ts
+++ b/src/core/jobs/jobs.ts
@@ -3,10 +3,11 @@
  * counts that placing and planning go by are kept with each change, so that neither has to
  * walk over all jobs or all machines for them.
  */
-import { needAttention } from './attention.js';
-import { give, isAtFault, noRoom, take } from './room.js';
-import { isDone, taskKey, type CoreState, type JobState, type LiveClaim, type Machine } from './state.js';
-import type { JobSpec } from './types.js';
+import { needAttention } from '../attention.js';
+import { give, isAtFault, noRoom, take } from '../placement/resources.js';
+import { isDone, taskKey, type JobState, type LiveClaim, type Machine } from '../model.js';
+import type { CoreState } from '../state.js';
+import type { JobSpec } from '../types.js';
 
 /** Whether nothing that a job awaits is still to be done. */
 export const isReady = (job: JobState): boolean => job.waitsFor.size === 0;
--- a/src/core/pipelines.ts
+++ b/src/core/jobs/pipelines.ts
@@ -5,9 +5,10 @@
  * are indexed by those, so that an end costs no more than what it sets free.
  */
 import { expectedRun, isReady, recount, startLatency } from './jobs.js';
-import type { CoreState, Final, JobState, Now } from './state.js';
-import { enlist } from './unsaved.js';
-import type { EndedRecord, FinalStage } from './types.js';
+import type { Final, JobState, Now } from '../model.js';
+import type { CoreState } from '../state.js';
+import { markDirty } from '../persistence/dirty-jobs.js';
+import type { EndedRecord, FinalStage } from '../types.js';
 
 const MOST_FINALS = 4000;
 const MOST_ASKED = 16;
@@ -27,7 +28,7 @@
 function doom(state: CoreState, job: JobState, since: number): void {
   if (job.over !== null || state.doomed.has(job)) return;
   state.doomed.set(job, since);
-  enlist(state, job);
+  markDirty(state, job);
 }
 
 function settle(state: CoreState, job: JobState, final: Final, id: string, since: number): void {
--- a/src/core/records.ts
+++ b/src/core/persistence/records.ts
@@ -1,6 +1,6 @@
 /** What the service itself keeps in the state service: keys and values. */
-import type { ChunkRecord, Claim, EndedRecord, JobSpec } from './types.js';
-import { asObject, isAmount, isCount, isText, type Json } from './values.js';
+import type { ChunkRecord, Claim, EndedRecord, JobSpec } from '../types.js';
+import { asObject, isAmount, isCount, isText, type Json } from '../values.js';
 
 export const JOB_PREFIX = 'job/';
 export const RUN_PREFIX = 'run/';
--- a/src/core/ledger.ts
+++ b/src/core/persistence/write-back.ts
@@ -1,16 +1,15 @@
 /** Jobs and attempts: who may be where, what is done, and what of it is committed. */
-import { needAttention } from './attention.js';
+import { needAttention } from '../attention.js';
 import { chunkKey, encodeChunk, encodeSmallChunk, endedKey, jobKey, TERM_KEY } from './records.js';
-import type { CommitOutcome, Effect, LoadedChunk, Recheck } from './effects.js';
-import { log } from './log.js';
-import { dropClaim, enterClaim, isComplete, markDone, recount } from './jobs.js';
-import { finalNow, finalOf, joinPipeline, leavePipeline } from './pipelines.js';
+import type { CommitOutcome, Effect, LoadedChunk, Recheck } from '../effects.js';
+import { log } from '../log.js';
+import { dropClaim, enterClaim, isComplete, markDone, recount } from '../jobs/jobs.js';
+import { finalNow, finalOf, joinPipeline, leavePipeline } from '../jobs/pipelines.js';
 import {
   isDone,
   isExitKept,
   type Chunk,
   type CommitInFlight,
-  type CoreState,
   type Final,
   type JobState,
   type Layout,
@@ -18,9 +17,10 @@
   type LiveClaim,
   type Machine,
   type Now,
-} from './state.js';
-import { delist, enlist, hasUnsaved, holdsStart, toWrite } from './unsaved.js';
-import type { ChunkRecord, Claim, Condition, FinalStage, JobSpec, Stamped, Write } from './types.js';
+} from '../model.js';
+import type { CoreState } from '../state.js';
+import { markClean, markDirty, hasDirtyJobs, holdsStart, toWrite } from './dirty-jobs.js';
+import type { ChunkRecord, Claim, Condition, FinalStage, JobSpec, Stamped, Write } from '../types.js';
 
 export function addJob(state: CoreState, job: Stamped<JobSpec>, over: FinalStage | null = null): JobState {
   const known = state.jobs.get(job.value.id);
@@ -55,7 +55,7 @@
     failedOn: new Set(),
   };
   state.jobs.set(job.value.id, added);
-  if (over !== null) enlist(state, added);
+  if (over !== null) markDirty(state, added);
   else joinPipeline(state, added);
   recount(state, added);
   state.placeDirty = true;
@@ -76,7 +76,7 @@
   const chunk = chunkOf(state, job, task);
   chunk.version += 1;
   chunk.waitsFrom ??= state.mono;
-  enlist(state, job);
+  markDirty(state, job);
   return chunk;
 }
 
@@ -97,7 +97,7 @@
   job.attempts.set(task, attempt);
   const chunk = touch(state, job, task);
   chunk.claimed = chunk.version;
-  enlist(state, job);
+  markDirty(state, job);
   const claim: LiveClaim = {
     job,
     task,
@@ -146,7 +146,7 @@
   for (const { machine } of job.claims.values()) needAttention(state, machine);
   recount(state, job);
   leavePipeline(state, job, final);
-  enlist(state, job);
+  markDirty(state, job);
   state.placeDirty = true;
 }
 
@@ -330,10 +330,10 @@
         const into = touch(state, job, claim.task);
         into.claimed = into.version;
         claim.version = into.version;
-        enlist(state, job);
+        markDirty(state, job);
       }
     }
-    if (job.older.size > 0) enlist(state, job);
+    if (job.older.size > 0) markDirty(state, job);
     state.layout = before;
   }
   for (const machine of state.machines.values()) {
@@ -531,7 +531,7 @@
     adoptLayout(state, state.adopting);
     state.adopting = null;
   }
-  if (!hasUnsaved(state)) return null;
+  if (!hasDirtyJobs(state)) return null;
   const most = allowance(state, now);
   if (most === 0) return null;
   const draft: Draft = {
@@ -549,7 +549,7 @@
     if (job.over !== null) draftCleaning(state, draft, job, most);
     else if (isComplete(job) || state.doomed.has(job)) draftEnding(state, draft, job, most, now);
     else draftChunks(state, draft, job, most, now);
-    if (isSaved(state, job)) delist(state, job);
+    if (isSaved(state, job)) markClean(state, job);
     if (state.lone && draft.apply.length > 0) break;
   }
   const { when, apply, chunks, ending, withdrawing, older } = draft;
@@ -600,7 +600,7 @@
     for (const job of commit.ending) endJob(state, job, 'done', finalNow('done', now));
     for (const job of commit.withdrawing) endJob(state, job, 'withdrawn', finalNow('withdrawn', now));
     for (const { job } of [...commit.chunks, ...commit.older])
-      if (job.over !== null || job.rank !== null) enlist(state, job);
+      if (job.over !== null || job.rank !== null) markDirty(state, job);
     return 'kept';
   }
   if (outcome.kind === 'failed' && outcome.keys.includes(TERM_KEY)) return 'deposed';
@@ -670,6 +670,6 @@
       if (stamp === undefined) job.older.delete(key);
       else older.stamp = stamp;
     }
-    enlist(state, job);
+    markDirty(state, job);
   }
 }
--- a/src/core/sites.ts
+++ b/src/core/placement/capacity-index.ts
@@ -3,9 +3,9 @@
  * task is found without looking at the machines that are full.
  */
 import TinyQueue from 'tinyqueue';
-import { fits, give, noRoom, take } from './room.js';
-import type { LiveClaim, Machine } from './state.js';
-import type { JobSpec, MachineType, Need, Room } from './types.js';
+import { fits, give, noRoom, take } from './resources.js';
+import type { LiveClaim, Machine } from '../model.js';
+import type { JobSpec, MachineType, Need, Room } from '../types.js';
 
 /** Steps in which the room of a machine is told, for the index. */
 const STEPS = 32;
@@ -18,7 +18,7 @@
 }
 
 /** A machine as placing sees it. */
-export interface Site {
+export interface NodeCapacity {
   readonly machine: Machine;
   readonly type: MachineType;
   /** What no task takes and nothing is kept for. */
@@ -41,14 +41,14 @@
 }
 
 interface Known {
-  readonly site: Site;
+  readonly site: NodeCapacity;
   readonly version: number;
   readonly shadow: Shadow;
 }
 
 /** When one task of a kind would fit each site, the earliest first. */
 export class Shadows {
-  readonly #known = new Map<Site, Known>();
+  readonly #known = new Map<NodeCapacity, Known>();
   readonly #queue = new TinyQueue<Known>(
     [],
     (a, b) => a.shadow.at - b.shadow.at || a.site.machine.order - b.site.machine.order,
@@ -56,36 +56,36 @@
   #read = 0;
 
   constructor(
-    private readonly sites: Sites,
-    private readonly look: (site: Site) => Shadow,
+    private readonly capacityIndex: CapacityIndex,
+    private readonly look: (site: NodeCapacity) => Shadow,
   ) {
-    this.#read = sites.log.length;
-    for (const site of sites.all) this.#enter(site);
+    this.#read = capacityIndex.log.length;
+    for (const site of capacityIndex.all) this.#enter(site);
   }
 
-  #enter(site: Site): Known {
+  #enter(site: NodeCapacity): Known {
     const known = { site, version: site.version, shadow: this.look(site) };
     this.#known.set(site, known);
     if (known.shadow.at < Infinity) this.#queue.push(known);
     return known;
   }
 
-  of(site: Site): Shadow {
+  of(site: NodeCapacity): Shadow {
     const known = this.#known.get(site);
     return (known?.version === site.version ? known : this.#enter(site)).shadow;
   }
 
   /** The earliest of those that are able. */
-  first(able: (site: Site) => boolean): Known | null {
-    for (; this.#read < this.sites.log.length; this.#read += 1) {
-      const site = this.sites.log[this.#read];
-      if (site !== undefined && this.sites.of(site.machine) === site) this.of(site);
+  first(able: (site: NodeCapacity) => boolean): Known | null {
+    for (; this.#read < this.capacityIndex.log.length; this.#read += 1) {
+      const site = this.capacityIndex.log[this.#read];
+      if (site !== undefined && this.capacityIndex.of(site.machine) === site) this.of(site);
     }
     const aside: Known[] = [];
     let found: Known | null = null;
     for (let front = this.#queue.peek(); front !== undefined; front = this.#queue.peek()) {
       const { site, version } = front;
-      const stands = this.sites.of(site.machine) === site && site.version === version;
+      const stands = this.capacityIndex.of(site.machine) === site && site.version === version;
       if (stands && able(site)) {
         found = front;
         break;
@@ -98,38 +98,38 @@
   }
 }
 
-/** Sites of one kind, by steps of the cpus that are free, with and without what is kept. */
+/** CapacityIndex of one kind, by steps of the cpus that are free, with and without what is kept. */
 export interface Group {
   readonly type: MachineType;
   readonly zone: string;
   readonly spot: boolean;
-  readonly open: readonly Set<Site>[];
-  readonly whole: readonly Set<Site>[];
+  readonly open: readonly Set<NodeCapacity>[];
+  readonly whole: readonly Set<NodeCapacity>[];
   size: number;
 }
 
 const stepOf = (type: MachineType, cpus: number): number =>
   Math.max(0, Math.min(STEPS, Math.floor((cpus / Math.max(EPSILON, type.cpus)) * STEPS + EPSILON)));
 
-const byStep = (): Set<Site>[] => Array.from({ length: STEPS + 1 }, () => new Set<Site>());
+const byStep = (): Set<NodeCapacity>[] => Array.from({ length: STEPS + 1 }, () => new Set<NodeCapacity>());
 
-export class Sites {
-  readonly #sites = new Map<Machine, Site>();
+export class CapacityIndex {
+  readonly #capacityIndex = new Map<Machine, NodeCapacity>();
   readonly #groups = new Map<string, Group>();
   readonly #kept = new Map<string, number>();
   readonly #shadows = new Map<string, Shadows>();
-  /** Sites in the order of their changes since shadows were last forgotten. */
-  readonly log: Site[] = [];
+  /** CapacityIndex in the order of their changes since shadows were last forgotten. */
+  readonly log: NodeCapacity[] = [];
 
   get size(): number {
-    return this.#sites.size;
+    return this.#capacityIndex.size;
   }
 
-  get all(): Iterable<Site> {
-    return this.#sites.values();
+  get all(): Iterable<NodeCapacity> {
+    return this.#capacityIndex.values();
   }
 
-  /** Groups that have sites; cheap kinds first. */
+  /** Groups that have capacityIndex; cheap kinds first. */
   get groups(): Group[] {
     return [...this.#groups.values()]
       .filter(({ size }) => size > 0)
@@ -137,24 +137,24 @@
   }
 
   clear(): void {
-    this.#sites.clear();
+    this.#capacityIndex.clear();
     this.#groups.clear();
     this.#kept.clear();
     this.forgetShadows();
   }
 
-  of(machine: Machine): Site | undefined {
-    return this.#sites.get(machine);
+  of(machine: Machine): NodeCapacity | undefined {
+    return this.#capacityIndex.get(machine);
   }
 
-  *ofType(name: string): Generator<Site> {
+  *ofType(name: string): Generator<NodeCapacity> {
     for (const { type, whole } of this.#groups.values()) {
-      if (type.name === name) for (const sites of whole) yield* sites;
+      if (type.name === name) for (const capacityIndex of whole) yield* capacityIndex;
     }
   }
 
   /** When a task of a kind would fit each site; kept until times have moved on. */
-  shadows(need: Need, look: (site: Site) => Shadow): Shadows {
+  shadows(need: Need, look: (site: NodeCapacity) => Shadow): Shadows {
     const key = `${need.cpus}/${need.gpus}/${need.memoryGb}`;
     let known = this.#shadows.get(key);
     if (known === undefined) {
@@ -178,17 +178,17 @@
   }
 
   remove(machine: Machine): void {
-    const site = this.#sites.get(machine);
+    const site = this.#capacityIndex.get(machine);
     if (site === undefined) return;
-    this.#sites.delete(machine);
+    this.#capacityIndex.delete(machine);
     site.group.open[site.steps.open]?.delete(site);
     site.group.whole[site.steps.whole]?.delete(site);
     site.group.size -= 1;
   }
 
   /** Takes in a machine, or what has changed on it. */
-  update(machine: Machine, type: MachineType, endOf: (claim: LiveClaim) => number): Site {
-    let site = this.#sites.get(machine);
+  update(machine: Machine, type: MachineType, endOf: (claim: LiveClaim) => number): NodeCapacity {
+    let site = this.#capacityIndex.get(machine);
     if (site !== undefined && site.type !== type) {
       this.remove(machine);
       site = undefined;
@@ -206,7 +206,7 @@
         steps: { open: 0, whole: 0 },
       };
       group.size += 1;
-      this.#sites.set(machine, made);
+      this.#capacityIndex.set(machine, made);
       site = made;
     }
     site.busyUntil = 0;
@@ -216,7 +216,7 @@
   }
 
   /** Works out the free room of a site anew, and puts it in its place in the index. */
-  settle(site: Site): void {
+  settle(site: NodeCapacity): void {
     const { machine, type, free, kept, group } = site;
     free.cpus = type.cpus - machine.used.cpus;
     free.gpus = type.gpus - machine.used.gpus;
@@ -234,13 +234,13 @@
     this.changed(site);
   }
 
-  changed(site: Site): void {
+  changed(site: NodeCapacity): void {
     site.version += 1;
     this.log.push(site);
   }
 
   /** Keeps room for one more task of a class on a site. */
-  keep(site: Site, spec: JobSpec): void {
+  keep(site: NodeCapacity, spec: JobSpec): void {
     give(site.kept, spec);
     this.#kept.set(spec.jobClass, this.keptFor(spec) + 1);
     this.settle(site);
@@ -258,7 +258,7 @@
 
   letGoAll(): void {
     this.#kept.clear();
-    for (const site of this.#sites.values()) {
+    for (const site of this.#capacityIndex.values()) {
       if (site.kept.cpus === 0 && site.kept.memoryGb === 0 && site.kept.gpus === 0) continue;
       Object.assign(site.kept, noRoom());
       this.settle(site);
@@ -277,13 +277,13 @@
 }
 
 /**
- * Sites of a group that may have room for a need, the tightest first. `whole` counts what
+ * CapacityIndex of a group that may have room for a need, the tightest first. `whole` counts what
  * is kept as free.
  */
-export function* tightest(group: Group, need: Need, whole: boolean): Generator<Site> {
+export function* tightest(group: Group, need: Need, whole: boolean): Generator<NodeCapacity> {
   const steps = whole ? group.whole : group.open;
   for (let step = stepOf(group.type, need.cpus - EPSILON); step < steps.length; step += 1) {
-    const sites = steps[step];
-    if (sites !== undefined && sites.size > 0) yield* [...sites];
+    const capacityIndex = steps[step];
+    if (capacityIndex !== undefined && capacityIndex.size > 0) yield* [...capacityIndex];
   }
 }
--- a/src/core/scarce.ts
+++ b/src/core/placement/constrained-types.ts
@@ -1,7 +1,8 @@
 /** Machine types that some can use nothing but. */
-import { fits } from './room.js';
-import type { CoreState, JobState } from './state.js';
-import type { JobSpec } from './types.js';
+import { fits } from './resources.js';
+import type { JobState } from '../model.js';
+import type { CoreState } from '../state.js';
+import type { JobSpec } from '../types.js';
 
 /** Types that some waiting job needs for want of any other, with the first such job of each. */
 export function scarceTypes(state: CoreState, queue: readonly JobState[]): Map<string, JobState> {
--- a/src/core/easy.ts
+++ b/src/core/placement/easy.ts
@@ -3,19 +3,20 @@
  * its shadow time, and later tasks may start now if they end before it or fit the
  * extra room. Room is counted per machine and resource.
  */
-import { isHurried, isIdleWork, isPressed, isThrifty, losesBy, startBy } from './aims.js';
-import { expectedEnd, isUsable } from './fleet.js';
-import { expectedRun, nextTask, waitingTasks } from './jobs.js';
-import { keepRoom } from './keeping.js';
-import { claimTask } from './ledger.js';
-import { makeRoom } from './preempt.js';
-import { unservedFor } from './promises.js';
+import { isHurried, isIdleWork, isPressed, isThrifty, losesBy, startBy } from '../jobs/aims.js';
+import { expectedEnd, isUsable } from '../fleet/machines.js';
+import { expectedRun, nextTask, waitingTasks } from '../jobs/jobs.js';
+import { keepRoom } from './headroom.js';
+import { claimTask } from '../persistence/write-back.js';
+import { makeRoom } from './preemption.js';
+import { unservedFor } from './reservations.js';
 import { currentQueue } from './queue.js';
-import { allows, avoids, fetchTime, fits, give, isAtFault, roomOf, sum, take } from './room.js';
-import { onlyType, scarceTypes } from './scarce.js';
-import { tightest, type Hold, type Shadow, type Site } from './sites.js';
-import type { CoreState, Head, JobState, LiveClaim, Machine, Now, TeamUse } from './state.js';
-import type { Need } from './types.js';
+import { allows, avoids, fetchTime, fits, give, isAtFault, roomOf, sum, take } from './resources.js';
+import { onlyType, scarceTypes } from './constrained-types.js';
+import { tightest, type Hold, type Shadow, type NodeCapacity } from './capacity-index.js';
+import type { Head, JobState, LiveClaim, Machine, Now, TeamUse } from '../model.js';
+import type { CoreState } from '../state.js';
+import type { Need } from '../types.js';
 
 const EPSILON = 1e-6;
 /** What an ordinary machine costs a choice against a cheap one that fits as well. */
@@ -43,7 +44,11 @@
 const MOST_CLEARED = 4;
 
 /** Zones open to the next task, given every task of the job that may be on a machine. */
-function zoneRule(state: CoreState, job: JobState, placed: readonly Site[] = []): (zone: string) => boolean {
+function zoneRule(
+  state: CoreState,
+  job: JobState,
+  placed: readonly NodeCapacity[] = [],
+): (zone: string) => boolean {
   const { spec } = job;
   if (!spec.oneZone && !spec.spread) return () => true;
   const counts = new Map<string, number>();
@@ -68,7 +73,7 @@
   return job.spec.form === 'gang' ? waitingTasks(job) : 1;
 }
 
-type Reservation = { at: number; holds: Map<Site, Hold> } | null;
+type Reservation = { at: number; holds: Map<NodeCapacity, Hold> } | null;
 
 /**
  * The shadow time: running tasks are gone through in the order of their expected
@@ -77,22 +82,22 @@
  */
 export function collectRoom(
   state: CoreState,
-  sites: readonly Site[],
+  capacityIndex: readonly NodeCapacity[],
   need: Need,
   count: number,
   now: Now,
 ): Reservation {
-  const room = new Map(sites.map((site) => [site, { ...site.free }]));
-  const fitting = (site: Site): number => {
+  const room = new Map(capacityIndex.map((site) => [site, { ...site.free }]));
+  const fitting = (site: NodeCapacity): number => {
     const trial = { ...(room.get(site) ?? site.free) };
     let found = 0;
     for (; found < count && fits(need, trial); found += 1) take(trial, need);
     return found;
   };
-  const counts = new Map(sites.map((site) => [site, fitting(site)]));
+  const counts = new Map(capacityIndex.map((site) => [site, fitting(site)]));
   let total = 0;
   for (const found of counts.values()) total += found;
-  const ends = sites
+  const ends = capacityIndex
     .flatMap((site) =>
       [...site.machine.claims.values()].map((claim) => ({ site, claim, at: expectedEnd(state, claim, now) })),
     )
@@ -108,9 +113,9 @@
     counts.set(end.site, found);
   }
   if (total < count) return null;
-  const holds = new Map<Site, Hold>();
+  const holds = new Map<NodeCapacity, Hold>();
   let left = count;
-  for (const site of [...sites].sort((a, b) => (counts.get(b) ?? 0) - (counts.get(a) ?? 0))) {
+  for (const site of [...capacityIndex].sort((a, b) => (counts.get(b) ?? 0) - (counts.get(a) ?? 0))) {
     const taken = Math.min(left, counts.get(site) ?? 0);
     if (taken === 0) break;
     const extra = { ...(room.get(site) ?? site.free) };
@@ -128,7 +133,7 @@
 }
 
 /** When one task that needs so much would fit a machine, and what is free there then. */
-export function shadowOn(state: CoreState, site: Site, need: Need, now: Now): Shadow {
+export function shadowOn(state: CoreState, site: NodeCapacity, need: Need, now: Now): Shadow {
   const room = roomOf(site.free);
   if (fits(need, room)) return { at: now.mono, room };
   if (!fits(need, site.type)) return { at: Infinity, room };
@@ -154,9 +159,9 @@
   state: CoreState,
   need: Need,
   now: Now,
-  able: (site: Site) => boolean,
+  able: (site: NodeCapacity) => boolean,
 ): Reservation {
-  const found = state.sites.shadows(need, (site) => shadowOn(state, site, need, now)).first(able);
+  const found = state.capacityIndex.shadows(need, (site) => shadowOn(state, site, need, now)).first(able);
   return found === null
     ? null
     : { at: found.shadow.at, holds: new Map([[found.site, holdOf(found.shadow, need)]]) };
@@ -172,9 +177,13 @@
   readonly now: Now;
   readonly largest: number;
   /** Room held for the head of the queue, and for jobs whose wait nears the bound; none binds its own job. */
-  readonly held: { readonly job: JobState; readonly at: number; readonly holds: ReadonlyMap<Site, Hold> }[];
+  readonly held: {
+    readonly job: JobState;
+    readonly at: number;
+    readonly holds: ReadonlyMap<NodeCapacity, Hold>;
+  }[];
   /** Room held for jobs that only one type can take, against jobs with a choice. */
-  readonly scarce: Map<Site, Hold>;
+  readonly scarce: Map<NodeCapacity, Hold>;
   /** The lowest priority among jobs that room is so held for. */
   readonly scarcePriority: number;
   /** Needs for which no machine has room in this pass, with what is kept and without. */
@@ -224,7 +233,7 @@
 function weigh(
   pass: Pass,
   wish: Wish,
-  site: Site,
+  site: NodeCapacity,
   open: (zone: string) => boolean,
 ): { score: number; end: number } | null {
   const { state, now } = pass;
@@ -262,14 +271,14 @@
 }
 
 interface Candidate {
-  readonly site: Site;
+  readonly site: NodeCapacity;
   score: number;
   end: number;
 }
 
 /** Machines weighed for a job's tasks; after a task is put on one, only that is weighed anew. */
 class Candidates {
-  readonly #found = new Map<Site, Candidate>();
+  readonly #found = new Map<NodeCapacity, Candidate>();
   /** Some that a task fits were left out. */
   #more = false;
 
@@ -281,7 +290,7 @@
     this.#gather();
   }
 
-  #add(site: Site): boolean {
+  #add(site: NodeCapacity): boolean {
     const weighed = weigh(this.pass, this.wish, site, this.open);
     if (weighed !== null) this.#found.set(site, { site, ...weighed });
     return weighed !== null;
@@ -294,7 +303,7 @@
     this.#more = false;
     let roomy = false;
     let left = MOST_WEIGHED;
-    for (const group of state.sites.groups) {
+    for (const group of state.capacityIndex.groups) {
       if (!allows(spec, group.type.name, group.zone, group.spot)) {
         roomy = true;
         continue;
@@ -313,7 +322,7 @@
     }
     left = MOST_WEIGHED;
     for (const machine of state.holders.get(spec.image) ?? []) {
-      const site = state.sites.of(machine);
+      const site = state.capacityIndex.of(machine);
       if (site !== undefined && !this.#found.has(site) && this.#add(site) && --left === 0) break;
     }
   }
@@ -341,17 +350,17 @@
 }
 
 /** Room held on a machine for others than a job. */
-function holdsOn(pass: Pass, job: JobState, site: Site): Hold[] {
+function holdsOn(pass: Pass, job: JobState, site: NodeCapacity): Hold[] {
   const held = pass.held.map(({ job: owner, holds }) => (owner === job ? undefined : holds.get(site)));
   return [...held, pass.scarce.get(site)].filter((hold) => hold !== undefined);
 }
 
-function occupy(pass: Pass, job: JobState, site: Site, end: number): void {
+function occupy(pass: Pass, job: JobState, site: NodeCapacity, end: number): void {
   const { state } = pass;
   const { spec } = job;
   // What was kept for tasks like it is its own first.
   if (!fits(spec, site.free)) {
-    state.sites.used(spec);
+    state.capacityIndex.used(spec);
     const free = sum(site.free, site.kept);
     take(free, spec);
     const kept = { cpus: 0, gpus: 0, memoryGb: 0 };
@@ -363,15 +372,15 @@
     Object.assign(site.free, free);
   } else take(site.free, spec);
   site.busyUntil = Math.max(site.busyUntil, end);
-  state.sites.changed(site);
+  state.capacityIndex.changed(site);
   for (const hold of holdsOn(pass, job, site)) if (end > hold.shadow) take(hold.extra, spec);
 }
 
 /** Places what must start together, all of it or nothing. */
-function placeGang(pass: Pass, wish: Wish, count: number): { site: Site; end: number }[] | null {
+function placeGang(pass: Pass, wish: Wish, count: number): { site: NodeCapacity; end: number }[] | null {
   const { state } = pass;
   const { job } = wish;
-  const placed: { site: Site; end: number }[] = [];
+  const placed: { site: NodeCapacity; end: number }[] = [];
   while (placed.length < count) {
     const open = zoneRule(
       state,
@@ -381,7 +390,7 @@
     const found = new Candidates(pass, wish, open).best();
     if (found === null) {
       for (const { site, end } of placed) {
-        state.sites.settle(site);
+        state.capacityIndex.settle(site);
         for (const hold of holdsOn(pass, job, site)) if (end > hold.shadow) give(hold.extra, job.spec);
       }
       return null;
@@ -393,12 +402,12 @@
 }
 
 /** The machines that a job may reserve, or have cleared for it. */
-function ableFor(pass: Pass, job: JobState): (site: Site) => boolean {
+function ableFor(pass: Pass, job: JobState): (site: NodeCapacity) => boolean {
   const { state, now } = pass;
   const { spec } = job;
   const open = zoneRule(state, job);
   // A head that keeps off a machine must not reserve it either: nobody could use it then.
-  const off = yields(pass, job) ? pass.scarce : new Map<Site, Hold>();
+  const off = yields(pass, job) ? pass.scarce : new Map<NodeCapacity, Hold>();
   return (site) => {
     const { machine } = site;
     return (
@@ -418,11 +427,11 @@
   const able = ableFor(pass, job);
   const count = together(job);
   if (count === 1) return earliestShadow(state, spec, now, able);
-  const sites = [...state.sites.all].filter(able);
-  if (!spec.oneZone) return collectRoom(state, sites, spec, count, now);
+  const capacityIndex = [...state.capacityIndex.all].filter(able);
+  if (!spec.oneZone) return collectRoom(state, capacityIndex, spec, count, now);
   let best: Reservation = null;
-  for (const zone of new Set(sites.map(({ machine }) => machine.zone))) {
-    const within = sites.filter(({ machine }) => machine.zone === zone);
+  for (const zone of new Set(capacityIndex.map(({ machine }) => machine.zone))) {
+    const within = capacityIndex.filter(({ machine }) => machine.zone === zone);
     const found = collectRoom(state, within, spec, count, now);
     if (found !== null && (best === null || found.at < best.at)) best = found;
   }
@@ -452,29 +461,33 @@
  * Brings the index up to date: with what has changed, which it returns, or with all of it
  * (null) once times have moved on.
  */
-function refreshSites(state: CoreState, now: Now, all: boolean): Site[] | null {
+function refreshSites(state: CoreState, now: Now, all: boolean): NodeCapacity[] | null {
   const endOf = (claim: LiveClaim): number => expectedEnd(state, claim, now);
-  const changed: Site[] = [];
+  const changed: NodeCapacity[] = [];
   const refresh = (machine: Machine): void => {
     const type = state.types.get(machine.type);
     if (type === undefined || !state.machines.has(machine.name) || !isSite(state, machine, now))
-      state.sites.remove(machine);
-    else changed.push(state.sites.update(machine, type, endOf));
+      state.capacityIndex.remove(machine);
+    else changed.push(state.capacityIndex.update(machine, type, endOf));
   };
   for (const machine of state.touched) refresh(machine);
   state.touched.clear();
   if (!all) return changed;
-  state.sites.forgetShadows();
+  state.capacityIndex.forgetShadows();
   for (const machine of state.machines.values()) refresh(machine);
   return null;
 }
 
 /** Room on the machines of scarce types, held for the first job that needs them. */
-function holdScarce(state: CoreState, jobs: ReadonlyMap<string, JobState>, now: Now): Map<Site, Hold> {
-  const held = new Map<Site, Hold>();
+function holdScarce(
+  state: CoreState,
+  jobs: ReadonlyMap<string, JobState>,
+  now: Now,
+): Map<NodeCapacity, Hold> {
+  const held = new Map<NodeCapacity, Hold>();
   for (const [type, { spec }] of jobs) {
-    const shadows = state.sites.shadows(spec, (site) => shadowOn(state, site, spec, now));
-    for (const site of state.sites.ofType(type)) {
+    const shadows = state.capacityIndex.shadows(spec, (site) => shadowOn(state, site, spec, now));
+    for (const site of state.capacityIndex.ofType(type)) {
       const shadow = shadows.of(site);
       if (shadow.at < Infinity) held.set(site, holdOf(shadow, spec));
     }
@@ -517,7 +530,7 @@
   const pass: Pass = {
     state,
     now,
-    largest: state.sites.largest(),
+    largest: state.capacityIndex.largest(),
     held: [],
     scarce: holdScarce(state, scarceJobs, now),
     scarcePriority,
@@ -540,7 +553,7 @@
     }
     if (head !== null) continue;
     const reservation = reserveFor(pass, job);
-    const holds = reservation?.holds ?? new Map<Site, Hold>();
+    const holds = reservation?.holds ?? new Map<NodeCapacity, Hold>();
     pass.held.push({ job, at: reservation?.at ?? Infinity, holds });
     head = {
       job: job.spec.id,
@@ -560,7 +573,7 @@
   if (lacks.some(({ whole }) => whole)) return false;
   const wish = wishOf(pass, job);
   if (lacks.length > 0 && !wish.whole) return false;
-  const claim = (site: Site, end: number): void => {
+  const claim = (site: NodeCapacity, end: number): void => {
     const task = nextTask(job);
     if (task === null) return;
     claimTask(state, job, task, site.machine, now, end);
@@ -569,7 +582,7 @@
     const placed = placeGang(pass, wish, together(job));
     for (const { site, end } of placed ?? []) {
       claim(site, end);
-      state.sites.settle(site);
+      state.capacityIndex.settle(site);
     }
     return placed !== null;
   }
@@ -586,7 +599,7 @@
     occupy(pass, job, site, end);
     claim(site, end);
     if (!wish.whole) state.unhurried -= 1;
-    state.sites.settle(site);
+    state.capacityIndex.settle(site);
     candidates.again(found);
   }
   return true;
--- a/src/core/keeping.ts
+++ b/src/core/placement/headroom.ts
@@ -2,11 +2,12 @@
  * Room kept free for classes that cannot wait for a boot: the head's reservation, turned to
  * arrivals to come.
  */
-import { isHurried } from './aims.js';
-import { allows, fits } from './room.js';
-import { onlyType, scarceClasses } from './scarce.js';
-import type { Site } from './sites.js';
-import type { CoreState, Demand, Now } from './state.js';
+import { isHurried } from '../jobs/aims.js';
+import { allows, fits } from './resources.js';
+import { onlyType, scarceClasses } from './constrained-types.js';
+import type { NodeCapacity } from './capacity-index.js';
+import type { Demand, Now } from '../model.js';
+import type { CoreState } from '../state.js';
 
 /** So many usual gaps without an arrival mean that a class has ended for now. */
 export const ARRIVALS_OVER = 8;
@@ -27,16 +28,18 @@
 /**
  * Keeps room for tasks of hurried classes that are likely to come: up to the most that were
  * there at once of late, on the machines with most images, for elsewhere each image would
- * have to be fetched first. Now and then among all sites; in between, for what is missing
+ * have to be fetched first. Now and then among all capacityIndex; in between, for what is missing
  * still, among those on which something has changed.
  */
-export function keepRoom(state: CoreState, now: Now, changed: Iterable<Site> | null): void {
-  if (changed === null) state.sites.letGoAll();
+export function keepRoom(state: CoreState, now: Now, changed: Iterable<NodeCapacity> | null): void {
+  if (changed === null) state.capacityIndex.letGoAll();
   const hurried = [...state.demand.values()].filter(({ spec }) => isHurried(state, spec));
-  const missing = hurried.map((demand) => missingOf(state, demand, now) - state.sites.keptFor(demand.spec));
+  const missing = hurried.map(
+    (demand) => missingOf(state, demand, now) - state.capacityIndex.keptFor(demand.spec),
+  );
   if (!missing.some((count) => count > 0)) return;
   const only = scarceClasses(state);
-  const rich = [...(changed ?? state.sites.all)].sort(
+  const rich = [...(changed ?? state.capacityIndex.all)].sort(
     (a, b) => b.machine.images.size - a.machine.images.size,
   );
   hurried.forEach(({ spec }, index) => {
@@ -47,7 +50,7 @@
       // What others can run on nothing else is not kept from them.
       if (choosy && only.has(site.machine.type)) continue;
       if (!allows(spec, site.machine.type, site.machine.zone, site.machine.spot)) continue;
-      for (; left > 0 && fits(spec, site.free); left -= 1) state.sites.keep(site, spec);
+      for (; left > 0 && fits(spec, site.free); left -= 1) state.capacityIndex.keep(site, spec);
     }
   });
 }
--- a/src/core/preempt.ts
+++ b/src/core/placement/preemption.ts
@@ -4,13 +4,14 @@
  * room is free on proof alone, as ever. Nothing is stopped that would end about as soon, and what was
  * stopped once gains a checkpoint's progress before it is stopped again.
  */
-import { needAttention } from './attention.js';
-import { cheapSlots, hasDeadline } from './aims.js';
-import { expectedEnd } from './fleet.js';
-import { fits, give, roomOf, sum, take } from './room.js';
-import type { Site } from './sites.js';
-import type { CoreState, JobState, LiveClaim, Machine, Now } from './state.js';
-import type { Need } from './types.js';
+import { needAttention } from '../attention.js';
+import { cheapSlots, hasDeadline } from '../jobs/aims.js';
+import { expectedEnd } from '../fleet/machines.js';
+import { fits, give, roomOf, sum, take } from './resources.js';
+import type { NodeCapacity } from './capacity-index.js';
+import type { JobState, LiveClaim, Machine, Now } from '../model.js';
+import type { CoreState } from '../state.js';
+import type { Need } from '../types.js';
 
 const EPSILON = 1e-6;
 /** Part of the bound on waiting that a task runs at least before it is stopped for others. */
@@ -115,7 +116,7 @@
   b.job.priority - a.job.priority || lossOf(a, now) - lossOf(b, now) || b.job.stamp - a.job.stamp;
 
 /** The ways to make room for one task after another on a machine, the ones under way already first. */
-function waysOn(site: Site, victims: LiveClaim[], need: Need, count: number, now: Now): Way[] {
+function waysOn(site: NodeCapacity, victims: LiveClaim[], need: Need, count: number, now: Now): Way[] {
   const room = sum(site.free, site.kept);
   for (const claim of site.machine.claims.values()) if (claim.unwanted) give(room, claim.job.spec);
   const left = [...victims].sort((a, b) => byLoss(a, b, now));
@@ -149,7 +150,7 @@
   state: CoreState,
   job: JobState,
   count: number,
-  able: (site: Site) => boolean,
+  able: (site: NodeCapacity) => boolean,
   now: Now,
 ): number {
   const victims = victimsFor(state, job, now);
@@ -162,7 +163,7 @@
   }
   const ways: Way[] = [];
   for (const machine of machines) {
-    const site = state.sites.of(machine);
+    const site = state.capacityIndex.of(machine);
     if (site === undefined || !able(site) || !fits(job.spec, site.type)) continue;
     ways.push(...waysOn(site, victims.get(machine) ?? [], job.spec, count, now));
   }
--- a/src/core/queue.ts
+++ b/src/core/placement/queue.ts
@@ -1,7 +1,8 @@
 /** The queue: jobs with waiting tasks, in the order in which they are served. */
-import { aimsLost, timeLeft } from './aims.js';
-import { expectedRun, waitingTasks } from './jobs.js';
-import type { CoreState, JobState, Now, Standing } from './state.js';
+import { aimsLost, timeLeft } from '../jobs/aims.js';
+import { expectedRun, waitingTasks } from '../jobs/jobs.js';
+import type { JobState, Now, Standing } from '../model.js';
+import type { CoreState } from '../state.js';
 
 /** Where a job stands within its priority. */
 function standing(state: CoreState, job: JobState, now: Now): Standing {
--- a/src/core/promises.ts
+++ b/src/core/placement/reservations.ts
@@ -5,9 +5,10 @@
  * reservation of its own, whatever its priority or size, and all others must pass the paper's two tests
  * against it too. A team's guarantee is the other promise: jobs that fit into it wait for no other team.
  */
-import { isReady } from './jobs.js';
-import { isAtFault } from './room.js';
-import type { CoreState, JobState, Now } from './state.js';
+import { isReady } from '../jobs/jobs.js';
+import { isAtFault } from './resources.js';
+import type { JobState, Now } from '../model.js';
+import type { CoreState } from '../state.js';
 
 /** So many reservations at a time for a class beside the head's; more would leave little for the queue's order. */
 const MOST_PROMISED = 2;
--- a/src/core/room.ts
+++ b/src/core/placement/resources.ts
@@ -1,6 +1,6 @@
 /** Room on machines, counted per resource, and which machines a job allows. */
-import type { JobState, Machine, Now } from './state.js';
-import type { JobSpec, MachineType, Need, Room } from './types.js';
+import type { JobState, Machine, Now } from '../model.js';
+import type { JobSpec, MachineType, Need, Room } from '../types.js';
 
 export type { Need, Room };
 
--- a/src/core/state.ts
+++ b/src/core/state.ts
@@ -1,285 +1,23 @@
 /** The leader's whole knowledge, owned by one owner and changed only by `step`. */
-import { Sites } from './sites.js';
-import type { Timing } from './timing.js';
-import type { Rank } from './unsaved.js';
+import type { CapacityIndex } from './placement/capacity-index.js';
+import type { MachineType, Priority } from './types.js';
 import type {
-  ExitReason,
-  FinalStage,
-  JobSpec,
-  ListedMachine,
-  MachineType,
-  Priority,
-  ReportedTask,
-  Room,
-  TaskStage,
-} from './types.js';
-
-/** `mono`: steady clock, `wall`: time of day; both in milliseconds. */
-export interface Now {
-  readonly mono: number;
-  readonly wall: number;
-}
-
-export interface TeamLimits {
-  readonly cpus: number;
-  readonly cpusMax: number;
-  readonly gpus: number;
-  readonly gpusMax: number;
-}
-
-export interface Rules {
-  readonly timing: Timing;
-  readonly teams: ReadonlyMap<string, TeamLimits>;
-  /** What the settings' objectives ask for, by class. */
-  readonly aims: ReadonlyMap<string, ClassAims>;
-  /** How the versions before write, and this one until every controller reads what it would write. */
-  readonly firstLayout: Layout;
-  readonly listLag: number;
-  /** Machines that are called within the longest time between two reports. */
-  readonly mostCalls: number;
-  readonly policy: PolicyFigures;
-}
-
-/** The aims of a class; any number of each kind, each list in ascending order. */
-export interface ClassAims {
-  /** Milliseconds from being ready within which a task is to start. */
-  readonly starts: readonly number[];
-  /** Multiples of the deadline by which a job is to be done. */
-  readonly deadlines: readonly number[];
-  /** Milliseconds from being ready within which a job is to be done. */
-  readonly finishes: readonly number[];
-}
-
-/** How run records are cut, and how much is written at once. */
-export interface Layout {
-  /** Width as it stands in the keys of chunks; null: the first versions' keys, which do not say. */
-  readonly width: number | null;
-  /** Tasks of a chunk. */
-  readonly tasks: number;
-  /** Most changes in a transaction. */
-  readonly txnOps: number;
-  /** Most bytes of a value. */
-  readonly valueBytes: number;
-  /** Changes a second that a leader keeps to, and how many it may save up. */
-  readonly writeRate: number;
-  readonly writeBurst: number;
-}
-
-/** What operators may change; see `policy`. */
-export interface PolicyFigures {
-  /** Expected run time of a task of this job, in milliseconds. */
-  readonly expectedRun: (job: JobSpec) => number;
-  /** A task past its expected end is expected to run on for so long, in milliseconds. */
-  readonly overrunAllowance: (job: JobSpec) => number;
-  /** Longest wait of a new leader before it places, in milliseconds. */
-  readonly placingWait: number;
-  /** How long an idle machine of this type is kept, in milliseconds. */
-  readonly idleHold: (type: MachineType, spot: boolean) => number;
-  /** A ready job is to be served at least so often, in milliseconds, whatever its priority or size. */
-  readonly startBound: (job: JobSpec) => number;
-  /** Share of a job's deadline slack that it may spend waiting for room. */
-  readonly deadlineSlack: (job: JobSpec) => number;
-  /** Room kept ready for a class that cannot wait for a boot, over the most it used of late. */
-  readonly headroom: (job: JobSpec) => number;
-  /** Time in which the memory of that most fades to a third, in milliseconds. */
-  readonly headroomMemory: number;
-  /** Number of machines from which on followers take reports, too. */
-  readonly sharedReportsFrom: number;
-}
-
-/** A task put on a machine and not yet proven gone from it. */
-export interface LiveClaim {
-  readonly job: JobState;
-  readonly task: number;
-  readonly attempt: number;
-  readonly machine: string;
-  readonly session: number;
-  readonly madeAt: number;
-  /** Version of its chunk that first held it: durable once that is committed. */
-  version: number;
-  /** A start may have been sent, by this leader or one before. */
-  sent: boolean;
-  /** What the worker last reported of it. */
-  stage: TaskStage | null;
-  /** Steady time of its first report as running. */
-  runningSince: number | null;
-  expectedEnd: number;
-  /** It was promised its room: the last to be stopped for others. */
-  readonly owed: boolean;
-  /** To be stopped although its job goes on. */
-  unwanted: boolean;
-}
-
-export interface Chunk {
-  readonly index: number;
-  /** 0: the key does not exist; null: unknown until it is read again. */
-  stamp: number | null;
-  version: number;
-  committed: number;
-  /** Version that the latest claim in it came with. */
-  claimed: number;
-  /** Steady time since which changes that can wait have waited to be written. */
-  waitsFrom: number | null;
-  /** Not written before: the state service would not take it. */
-  blockedUntil: number;
-}
-
-/** A run record of another width: what today's chunks do not hold of its tasks is in it. */
-export interface OlderChunk {
-  /** Null: unknown until it is read again. */
-  stamp: number | null;
-  readonly first: number;
-  readonly end: number;
-}
-
-export interface JobState {
-  readonly spec: JobSpec;
-  readonly stamp: number;
-  over: FinalStage | null;
-  /** Jobs that it awaits and that are not known to be done; it is ready when there are none. */
-  readonly waitsFor: Set<string>;
-  /** Time of day from which it could start: its submission, or the end of the last job it awaits. */
-  readyAt: number;
-  /** Its own priority, or the highest of those that need it. */
-  priority: Priority;
-  /** Time of day by which jobs that need it want it done; Infinity: none does. */
-  dueAt: number;
-  /** Tasks of it that wait for a machine, and those out or waiting, as last counted. */
-  waiting: number;
-  present: number;
-  /** Tasks that their workers report as running. */
-  running: number;
-  /** What its next write is for; null: there is nothing to be written. */
-  rank: Rank | null;
-  /** Steady time from which only exits have waited to be written. */
-  exitsSince: number;
-  /** Steady time at which a task of it was last put on a machine; -Infinity: never. */
-  servedAt: number;
-  /** Steady time at which a task of it was last stopped to make room; -Infinity: never. */
-  stoppedAt: number;
-  /** It stands in the order of the queue. */
-  queued: boolean;
-  /** Its arrival, or becoming ready, has been counted in the demand. */
-  counted: boolean;
-  readonly done: Uint8Array;
-  doneCount: number;
-  readonly attempts: Map<number, number>;
-  readonly claims: Map<number, LiveClaim>;
-  /** Tasks to place again, lowest first; before those from `cursor` on. */
-  readonly again: number[];
-  cursor: number;
-  readonly chunks: Map<number, Chunk>;
-  /** By key; each goes once today's chunks hold all that is known of its tasks. */
-  readonly older: Map<string, OlderChunk>;
-  /** Tries in a row since it was found to be at fault, and when to try again. */
-  tries: number;
-  retryAt: number;
-  /** Machines on which it has failed since a task of it last completed. */
-  readonly failedOn: Set<string>;
-}
-
-/** Where a job stands within its priority: by group, then by `key`. */
-export interface Standing {
-  readonly job: JobState;
-  /** 0: within its team's guarantee. */
-  readonly rank: number;
-  readonly priority: Priority;
-  readonly group: number;
-  readonly key: number;
-}
-
-export interface TeamUse {
-  cpus: number;
-  gpus: number;
-  tasks: number;
-}
-
-export interface Exit {
-  readonly job: JobState | null;
-  readonly chunk: Chunk | null;
-  readonly version: number;
-}
-
-export interface Machine {
-  readonly name: string;
-  address: string;
-  type: string;
-  zone: string;
-  spot: boolean;
-  /** Steady time of its rental request, as far as known. */
-  rentedAt: number;
-  session: number;
-  seq: number;
-  /** Steady time of its last report; null before the first that this leader saw. */
-  heardAt: number | null;
-  /** Steady time of the first report that this leader saw, and of its latest answer to one. */
-  metSince: number | null;
-  answeredAt: number | null;
-  /** Starts in that answer, as `job/task#attempt`; the next report shows them if it came. */
-  told: readonly string[];
-  /** Steady time since which there is reason to think that it does not hear its answers; null: none. */
-  deafSince: number | null;
-  /** Answers in a row that it seems not to have heard. */
-  misses: number;
-  /** Steady time at which a deputy last told of it. */
-  relayedAt: number | null;
-  /** It answers when called, and its lease ran out since it was last heard: nobody holds it. */
-  lapsed: boolean;
-  /** Its silence counts from here when it was never heard. */
-  knownAt: number;
-  /** Its latest report carried this leader's token: the whole truth about it. */
-  whole: boolean;
-  /** Steady time at which the cloud takes it away. */
-  takenAt: number | null;
-  listed: ListedMachine['stage'] | null;
-  readonly claims: Map<string, LiveClaim>;
-  /** Room that its claims take. */
-  readonly used: Room;
-  /** Its place in the order of becoming known. */
-  readonly order: number;
-  readonly exits: Map<string, Exit>;
-  reported: readonly ReportedTask[];
-  /** Images it is believed to hold, most recently used last. */
-  readonly images: Map<string, number>;
-  idleSince: number;
-  /** Jobs that have failed on it, and not elsewhere, since the last completion. */
-  readonly erredJobs: Set<string>;
-  /** Why it gets no more work and goes back; null while it is of use. */
-  leaving: string | null;
-  returnAskedAt: number | null;
-  /** The report waiting for an answer. */
-  held: { readonly reply: number; readonly since: number } | null;
-  raisedAt: number | null;
-  /** It is being knocked at, and so many knocks in a row have met nobody. */
-  knocking: boolean;
-  unmet: number;
-  /** Steady time at which a knock last met somebody. */
-  metAt: number | null;
-}
-
-export interface Rental {
-  readonly request: string;
-  readonly type: string;
-  readonly zone: string;
-  readonly spot: boolean;
-  readonly count: number;
-  readonly askedAt: number;
-}
-
-export interface Leadership {
-  readonly term: number;
-  readonly stamp: number;
-  readonly since: number;
-  authorityUntil: number;
-  /** Steady time of sending the latest read that proved the view of the jobs. */
-  provenAt: number;
-  /** It is being handed over: nothing new is begun. */
-  closing?: boolean;
-  /** The leader before may be alive, blind and still answering workers. */
-  readonly haunted?: boolean;
-  /** Machines that may be called still, as of `at`. */
-  readonly calls: { left: number; at: number };
-}
+  CommitInFlight,
+  Demand,
+  Final,
+  Head,
+  Hearing,
+  JobState,
+  Layout,
+  Leadership,
+  LiveClaim,
+  Machine,
+  Rental,
+  Rules,
+  Standing,
+  TeamUse,
+  WriteReason,
+} from './model.js';
 
 /**
  * Whether a leader's view is fresh enough to act on. What one that is cut off asks for at the cloud may
@@ -291,13 +29,6 @@
   return lead !== null && state.mono - lead.provenAt < state.rules.timing.leaderLease;
 }
 
-export interface Head {
-  readonly job: string;
-  readonly machines: readonly string[];
-  readonly shadow: number | null;
-  readonly reason: string;
-}
-
 export interface CoreState {
   readonly node: string;
   readonly rules: Rules;
@@ -319,7 +50,7 @@
   /** Of these, those whose report came in with this step. */
   readonly answerable: Machine[];
   /** Jobs of which something may have to be written, by what for; those waiting longest first. */
-  readonly unsaved: Readonly<Record<Rank, Set<JobState>>>;
+  readonly dirtyJobs: Readonly<Record<WriteReason, Set<JobState>>>;
   /** Steady time of this step. */
   mono: number;
   /** Jobs with tasks that wait for a machine, and those that came to have some since the last look. */
@@ -341,7 +72,7 @@
   readonly holders: Map<string, Set<Machine>>;
   /** Machines of which something has changed that placing goes by. */
   readonly touched: Set<Machine>;
-  readonly sites: Sites;
+  readonly capacityIndex: CapacityIndex;
   /** Machines that have reported since the latest tick without being known. */
   readonly unexpected: string[];
   nextMachine: number;
@@ -389,169 +120,3 @@
   /** Machines that the latest plan puts waiting tasks, or room kept ready, on. */
   readonly inPlan: Set<string>;
 }
-
-/** How a leader hears its machines. */
-export interface Hearing {
-  /** Machines heard within the longest time between two reports, and those that should have been. */
-  readonly heard: number;
-  readonly expected: number;
-  /** Machines that should be up, and those of them that this leader has never heard. */
-  readonly up: number;
-  readonly unheard: number;
-  /** Milliseconds since any of them was heard. */
-  readonly silentMs: number;
-}
-
-/** What a class asks for: its latest arrivals, and the most tasks at once of late. */
-export interface Demand {
-  /** Its latest job, as a pattern for those to come. */
-  readonly spec: JobSpec;
-  peak: number;
-  /** Tasks that came of late, and when they would have ended had they started at once. */
-  arrivals: readonly { readonly until: number; readonly job: JobState }[];
-  at: number;
-  /** Steady time of its latest arrival, and the usual gap between two, in milliseconds. */
-  arrivedAt: number;
-  gap: number;
-}
-
-export interface CommitInFlight {
-  readonly id: number;
-  readonly chunks: readonly {
-    readonly job: JobState;
-    readonly chunk: Chunk;
-    readonly version: number;
-    readonly removed: boolean;
-  }[];
-  readonly ending: readonly JobState[];
-  readonly withdrawing: readonly JobState[];
-  readonly older: readonly { readonly job: JobState; readonly key: string }[];
-}
-
-/** How a job ended, and when (time of day in milliseconds). */
-export interface Final {
-  readonly stage: FinalStage;
-  readonly at: number;
-}
-
-export const taskKey = (job: string, task: number): string => `${job}/${task}`;
-
-const PRIORITIES: readonly Priority[] = [0, 1, 2, 3];
-
-export function createState(node: string, rules: Rules): CoreState {
-  return {
-    node,
-    rules,
-    layout: rules.firstLayout,
-    wide: rules.firstLayout.tasks,
-    adopting: null,
-    leadership: null,
-    types: new Map(),
-    jobs: new Map(),
-    machines: new Map(),
-    held: new Set(),
-    attention: new Set(),
-    newAttention: [],
-    unsaved: { start: new Set(), end: new Set(), exit: new Set(), clean: new Set() },
-    mono: 0,
-    answerable: [],
-    waiting: new Set(),
-    joined: [],
-    queue: [],
-    promised: [],
-    guaranteed: new Set(),
-    out: new Map(PRIORITIES.map((priority) => [priority, new Set<LiveClaim>()])),
-    halting: new Set(),
-    present: new Map(),
-    use: new Map(),
-    holders: new Map(),
-    touched: new Set(),
-    sites: new Sites(),
-    unexpected: [],
-    nextMachine: 0,
-    gone: new Set(),
-    rentals: new Map(),
-    refusedUntil: new Map(),
-    dependents: new Map(),
-    finals: new Map(),
-    unresolved: new Map(),
-    asking: null,
-    doomed: new Map(),
-    lone: false,
-    budget: { level: 0, at: 0 },
-    nextRequest: 1,
-    rentNotBefore: 0,
-    commit: null,
-    recheck: null,
-    commitNotBefore: 0,
-    nextCommit: 1,
-    unhurried: Infinity,
-    placeDirty: false,
-    placedAt: 0,
-    planAt: 0,
-    rememberAt: 0,
-    head: null,
-    runRatio: new Map(),
-    demand: new Map(),
-    quiet: new Map(),
-    busy: false,
-    hearing: null,
-    inPlan: new Set(),
-  };
-}
-
-/** Forgets everything a leader knew; machine types are nobody's secret. */
-export function forgetLeadership(state: CoreState): void {
-  state.leadership = null;
-  state.jobs.clear();
-  state.machines.clear();
-  state.held.clear();
-  state.attention.clear();
-  state.newAttention.length = 0;
-  for (const jobs of Object.values(state.unsaved)) jobs.clear();
-  state.answerable.length = 0;
-  state.waiting.clear();
-  state.joined.length = 0;
-  state.queue = [];
-  state.promised = [];
-  state.guaranteed.clear();
-  for (const claims of state.out.values()) claims.clear();
-  state.halting.clear();
-  state.present.clear();
-  state.use.clear();
-  state.holders.clear();
-  state.touched.clear();
-  state.sites.clear();
-  state.unexpected.length = 0;
-  state.gone.clear();
-  state.rentals.clear();
-  state.refusedUntil.clear();
-  state.dependents.clear();
-  state.unresolved.clear();
-  state.asking = null;
-  state.doomed.clear();
-  state.adopting = null;
-  state.lone = false;
-  state.commit = null;
-  state.recheck = null;
-  state.commitNotBefore = 0;
-  state.head = null;
-  state.demand.clear();
-  state.quiet.clear();
-  state.hearing = null;
-  state.inPlan.clear();
-  state.planAt = 0;
-}
-
-export function isDone(job: JobState, task: number): boolean {
-  return ((job.done[task >> 3] ?? 0) & (1 << (task & 7))) !== 0;
-}
-
-/** Whether an exit has reached the state service, so that the worker may forget it. */
-export function isExitKept(exit: Exit): boolean {
-  return (
-    exit.job === null || exit.job.over !== null || exit.chunk === null || exit.version <= exit.chunk.committed
-  );
-}
-
-export type { ExitReason };
--- a/src/core/step.ts
+++ b/src/core/step.ts
@@ -1,6 +1,6 @@
 /** One batch of commands into the state, and the effects that follow. */
-import { giveBack, recallDemand, rememberDemand, rent, settleRental } from './capacity.js';
-import { place } from './easy.js';
+import { giveBack, recallDemand, rememberDemand, rent, settleRental } from './autoscaling/autoscaler.js';
+import { place } from './placement/easy.js';
 import type { Command, Effect } from './effects.js';
 import {
   answer,
@@ -13,15 +13,25 @@
   release,
   takeList,
   takeReport,
-} from './fleet.js';
-import { addJob, chunkRange, endJob, loadChunks, nextCommit, settleCommit, settleRecheck } from './ledger.js';
-import { takeHeartbeat } from './heartbeats.js';
+} from './fleet/machines.js';
+import {
+  addJob,
+  chunkRange,
+  endJob,
+  loadChunks,
+  nextCommit,
+  settleCommit,
+  settleRecheck,
+} from './persistence/write-back.js';
+import { takeHeartbeat } from './fleet/heartbeats.js';
 import { log } from './log.js';
-import { nextQuestion, settleQuestion } from './pipelines.js';
-import { settleProbe } from './probing.js';
-import { chooseGuaranteed, choosePromised } from './promises.js';
-import { sortQueue } from './queue.js';
-import { forgetLeadership, mayAct, type CoreState, type LiveClaim, type Machine, type Now } from './state.js';
+import { nextQuestion, settleQuestion } from './jobs/pipelines.js';
+import { settleProbe } from './fleet/probing.js';
+import { chooseGuaranteed, choosePromised } from './placement/reservations.js';
+import { sortQueue } from './placement/queue.js';
+import type { LiveClaim, Machine, Now } from './model.js';
+import { mayAct, type CoreState } from './state.js';
+import { forgetLeadership } from './create-state.js';
 
 function resign(state: CoreState, reason: string, effects: Effect[]): void {
   if (state.leadership === null) return;
--- a/src/describe.ts
+++ b/src/describe.ts
@@ -1,15 +1,15 @@
 /** The operators' view of a controller: one object, bounded in size. */
-import { freeRoom, isAtFault } from './core/room.js';
-import { isReady, waitingTasks } from './core/jobs.js';
-import { waitingJobs } from './core/queue.js';
-import { taskKey, type CoreState, type Machine, type Now } from './core/state.js';
+import { freeRoom, isAtFault, waitingJobs } from './core/placement/index.js';
+import { isReady, waitingTasks } from './core/jobs/index.js';
+import { taskKey, type Machine, type Now } from './core/model.js';
+import type { CoreState } from './core/state.js';
 
 const MOST_LISTED = 100;
 
 function stageOf(machine: Machine): string {
   if (machine.leaving !== null) return 'leaving';
   if (machine.takenAt !== null) return 'being taken';
-  if (machine.deafSince !== null) return 'deaf';
+  if (machine.unresponsiveSince !== null) return 'deaf';
   if (machine.heardAt === null) return 'booting';
   return machine.whole ? 'up' : 'unproven';
 }
--- a/src/index.ts
+++ b/src/index.ts
@@ -4,5 +4,5 @@
 export { parseSettings, settingsFaults, SettingsError, type PlatformSettings } from './settings.js';
 export { createPolicy, readPolicy, FIGURES } from './policy.js';
 export { step } from './core/step.js';
-export { createState } from './core/state.js';
+export { createState } from './core/create-state.js';
 export type { Command, Effect } from './core/effects.js';
--- a/src/membership/election.ts
+++ b/src/membership/election.ts
@@ -6,10 +6,10 @@
  * leader that is known to be gone may be succeeded before it is over, on condition of its record's
  * stamp, and so may one that names its successor.
  */
-import type { LeaderRecord } from '../core/records.js';
+import type { LeaderRecord } from '../core/persistence/index.js';
 import type { Timing } from '../core/timing.js';
 
-export interface Won {
+export interface ElectionResult {
   readonly term: number;
   readonly stamp: number;
   /** Steady time at which the winning transaction was sent. */
@@ -24,7 +24,7 @@
   readonly stamp: number;
 }
 
-/** The leader's record, and the revision as of which it stood so: a watch from there misses nothing. */
+/** The leader's record, and the revision as of which it stood so: a watch from there missedResponses nothing. */
 export interface Seen extends Kept<LeaderRecord> {
   readonly revision: number;
 }
@@ -90,14 +90,14 @@
       readonly leaderStamp: number;
       readonly termStamp: number;
     }
-  | { readonly kind: 'elected'; readonly won: Won }
+  | { readonly kind: 'elected'; readonly won: ElectionResult }
   /** Another may lead. */
   | { readonly kind: 'lost' }
   | { readonly kind: 'leaderKnown'; readonly leader: LeaderRecord | null; readonly stamp: number };
 
 interface Holding {
   readonly lease: number;
-  readonly won: Won;
+  readonly won: ElectionResult;
   /** Stamp of the leader record, which naming a successor moves on; 0: not known. */
   leaderStamp: number;
   named: string | null;
@@ -232,7 +232,7 @@
   const { lease, standsFor, timing } = state;
   if (lease === null || standsFor === null) return look(state);
   const before = state.gone ? 'gone' : 'unknown';
-  const won: Won = { term: standsFor.term, stamp, provenAt: standsFor.provenAt, before };
+  const won: ElectionResult = { term: standsFor.term, stamp, provenAt: standsFor.provenAt, before };
   state.phase = 'holding';
   state.holding = { lease, won, leaderStamp, named: null };
   state.lease = null;
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -20,7 +20,7 @@
 }
 
 /** A leader's hand-over: to whom, and why. */
-export interface Yield {
+export interface Resignation {
   readonly to: string;
   readonly why: string;
 }
@@ -338,7 +338,7 @@
    * To whom this node, as a leader, should hand over, and why; null: it leads on. Of several the one that
    * hears most, then one that is to lead rather than others.
    */
-  yieldsTo(now: number, stateAgeMs: number, preferred: ReadonlySet<string> = new Set()): Yield | null {
+  yieldsTo(now: number, stateAgeMs: number, preferred: ReadonlySet<string> = new Set()): Resignation | null {
     if (this.doubtsItself(now) && this.#behindSince === null) return null;
     const best: { peer: Peer; why: string }[] = [];
     for (const peer of this.#peers.values()) {
--- a/src/policy.ts
+++ b/src/policy.ts
@@ -3,7 +3,7 @@
  * Language, checked before it is used and evaluated once for each job or machine type.
  */
 import { Environment } from '@marcbachmann/cel-js';
-import type { PolicyFigures } from './core/state.js';
+import type { PolicyFigures } from './core/model.js';
 import type { JobSpec, MachineType } from './core/types.js';
 import type { Log } from './logging.js';
 import type { PlatformSettings } from './settings.js';
--- a/src/rules.ts
+++ b/src/rules.ts
@@ -1,5 +1,5 @@
 /** The rules that the core goes by, from the platform's settings and the operators' policy. */
-import type { ClassAims, PolicyFigures, Rules } from './core/state.js';
+import type { ClassAims, PolicyFigures, Rules } from './core/model.js';
 import { timing, type PlatformSettings } from './settings.js';
 import { firstLayout } from './upgrade.js';
 
--- a/src/service.ts
+++ b/src/service.ts
@@ -6,7 +6,7 @@
 import { HttpStateService } from './adapters/state.js';
 import { HttpWorkers } from './adapters/workers.js';
 import { systemClock } from './clock.js';
-import type { PolicyFigures } from './core/state.js';
+import type { PolicyFigures } from './core/model.js';
 import type { Log } from './logging.js';
 import { ControllerNode } from './controller/node.js';
 import { parseAddress, timing, type PlatformSettings } from './settings.js';
--- a/src/upgrade.ts
+++ b/src/upgrade.ts
@@ -6,10 +6,17 @@
  */
 import type { StateService } from './adapters/state.js';
 import type { Clock } from './clock.js';
-import type { Layout } from './core/state.js';
+import type { Layout } from './core/model.js';
 import { lastingLimits, type PlatformSettings, type StateLimits } from './settings.js';
-import { decodeFormat, FORMAT, FORMAT_KEY, TERM_KEY, VERSION_PREFIX, versionKey } from './core/records.js';
-import type { FormatRecord } from './core/records.js';
+import {
+  decodeFormat,
+  FORMAT,
+  FORMAT_KEY,
+  type FormatRecord,
+  TERM_KEY,
+  VERSION_PREFIX,
+  versionKey,
+} from './core/persistence/index.js';
 
 /** Bytes that one task may take in a chunk, generously: as the first versions write it, and as this does. */
 const BYTES_PER_TASK = 64;
--- a/src/wire/intake.ts
+++ b/src/wire/intake.ts
@@ -3,7 +3,7 @@
  * a field of the frames between controllers, which versions before sharing skip.
  */
 import protobuf from 'protobufjs/light.js';
-import type { Heartbeat } from '../core/heartbeats.js';
+import type { Heartbeat } from '../core/fleet/index.js';
 import type { ExitReason, Report, ReportedTask, TaskStage, WorkerCommand } from '../core/types.js';
 
 interface Envelope {
--- a/test/easy.test.ts
+++ b/test/easy.test.ts
@@ -1,9 +1,8 @@
 /** The paper's rule, as traces kept beside: commands in (>), effects out (<). */
 import { expect, test } from 'vitest';
-import { mayBackfill } from '../src/core/easy.js';
-import { isPressed } from '../src/core/aims.js';
-import { waitingJobs } from '../src/core/queue.js';
-import type { ClassAims } from '../src/core/state.js';
+import { mayBackfill, waitingJobs } from '../src/core/placement/index.js';
+import { isPressed } from '../src/core/jobs/index.js';
+import type { ClassAims } from '../src/core/model.js';
 import { CoreBench, EIGHT, job, report, task } from './standins/core.js';
 
 /** From now on a class has a start aim. */
--- a/test/faults.test.ts
+++ b/test/faults.test.ts
@@ -1,7 +1,7 @@
 /** Jobs with a mistake and faulty machines, told apart by what fails where. */
 import { expect, test } from 'vitest';
 import type { Effect } from '../src/core/effects.js';
-import { isAtFault } from '../src/core/room.js';
+import { isAtFault } from '../src/core/placement/index.js';
 import type { ReportedTask } from '../src/core/types.js';
 import { CoreBench, job, report, task } from './standins/core.js';
 
--- a/test/fleet.test.ts
+++ b/test/fleet.test.ts
@@ -1,11 +1,11 @@
 /** Many machines lost at once: what is given back, what runs again, and what a cut-off leader must not ask for. */
 import { expect, test } from 'vitest';
 import { RetryBudget } from '../src/adapters/limiter.js';
-import { aimsLost, isHurried, latestStart } from '../src/core/aims.js';
+import { aimsLost, isHurried, latestStart } from '../src/core/jobs/index.js';
 import { classAims } from '../src/rules.js';
 import type { Effect } from '../src/core/effects.js';
-import type { ClassAims } from '../src/core/state.js';
-import { claimTask } from '../src/core/ledger.js';
+import type { ClassAims } from '../src/core/model.js';
+import { claimTask } from '../src/core/persistence/index.js';
 import { CoreBench, EIGHT, job, report, task } from './standins/core.js';
 
 const returned = (effects: readonly Effect[]): string[] =>
--- a/test/handover.test.ts
+++ b/test/handover.test.ts
@@ -1,7 +1,7 @@
 /** Machines after a change of leader, and machines that hang: what is one event is not judged as many. */
 import { expect, test } from 'vitest';
 import type { Effect } from '../src/core/effects.js';
-import { claimTask } from '../src/core/ledger.js';
+import { claimTask } from '../src/core/persistence/index.js';
 import { CoreBench, job, report, task } from './standins/core.js';
 
 const returned = (effects: readonly Effect[]): string[] =>
--- a/test/hearing.test.ts
+++ b/test/hearing.test.ts
@@ -1,6 +1,6 @@
 /** Machines that do not hear what they are told, and copies of reports that come late. */
 import { expect, test } from 'vitest';
-import { isUsable } from '../src/core/fleet.js';
+import { isUsable } from '../src/core/fleet/index.js';
 import type { Effect } from '../src/core/effects.js';
 import { CoreBench, job, report, task, TERM } from './standins/core.js';
 
@@ -77,7 +77,7 @@
     others(bench, 10 + i);
     expect(returned(bench.do({ kind: 'tick', busy: true }))).toEqual([]);
     // The first answer was given in time, and missed; none of those since says anything.
-    expect(bench.state.machines.get('m')?.misses).toBe(1);
+    expect(bench.state.machines.get('m')?.missedResponses).toBe(1);
   }
 });
 
--- a/test/leading.test.ts
+++ b/test/leading.test.ts
@@ -135,8 +135,8 @@
   let seq = 0;
   const asks = () => report('m', ++seq, [task('req-1/0', 1, 'running'), task('req-2/0', 1, 'running')]);
   expect(await deputy.answer(asks())).toBeNull();
-  deputy.learn({ at: 1000, live: new Set(['req-1']) });
-  deputy.learn({ at: 900, live: new Set(['req-2']) });
+  deputy.receiveSnapshot({ at: 1000, live: new Set(['req-1']) });
+  deputy.receiveSnapshot({ at: 900, live: new Set(['req-2']) });
   now = 1000 + timing.authority - 101;
   expect(await deputy.answer(asks())).toMatchObject([{ op: 'stop', job: 'req-2' }]);
   // A late copy is no sign of life, and gets no answer.
--- a/test/pipelines.test.ts
+++ b/test/pipelines.test.ts
@@ -1,7 +1,7 @@
 /** Jobs that wait for others: kept traces, and a test for each guard. */
 import { expect, test } from 'vitest';
 import type { Command, Effect } from '../src/core/effects.js';
-import { settledUntil } from '../src/core/pipelines.js';
+import { settledUntil } from '../src/core/jobs/index.js';
 import type { EndedRecord, FinalStage, JobSpec } from '../src/core/types.js';
 import { CoreBench, job, report, task } from './standins/core.js';
 
--- a/test/promises.test.ts
+++ b/test/promises.test.ts
@@ -1,9 +1,8 @@
 /** Promises beyond the head's reservation: bounded waiting, guarantees, and the preemption that keeps them. */
 import { expect, test } from 'vitest';
 import type { Effect } from '../src/core/effects.js';
-import { whyWaits } from '../src/core/promises.js';
-import type { JobState } from '../src/core/state.js';
-import { waitingJobs } from '../src/core/queue.js';
+import { waitingJobs, whyWaits } from '../src/core/placement/index.js';
+import type { JobState } from '../src/core/model.js';
 import type { JobSpec, ReportedTask } from '../src/core/types.js';
 import { CoreBench, job, report, task } from './standins/core.js';
 
--- a/test/standins/core.ts
+++ b/test/standins/core.ts
@@ -1,7 +1,8 @@
 /** A leader's core alone, driven by hand, that writes down what goes in and what comes out. */
 import { expect } from 'vitest';
 import type { Command, Effect } from '../../src/core/effects.js';
-import { createState, type CoreState } from '../../src/core/state.js';
+import type { CoreState } from '../../src/core/state.js';
+import { createState } from '../../src/core/create-state.js';
 import { step } from '../../src/core/step.js';
 import type { Claim, JobSpec, MachineType, Report, ReportedTask } from '../../src/core/types.js';
 import { rulesFor } from '../../src/rules.js';
--- a/test/standins/explore.ts
+++ b/test/standins/explore.ts
@@ -13,7 +13,7 @@
   type ElectionState,
   type Kept,
 } from '../../src/membership/election.js';
-import type { LeaderRecord } from '../../src/core/records.js';
+import type { LeaderRecord } from '../../src/core/persistence/index.js';
 import { timing } from '../../src/settings.js';
 import { testSettings } from './world.js';
 
--- a/test/upgrade.test.ts
+++ b/test/upgrade.test.ts
@@ -16,7 +16,7 @@
   packMachines,
   packMemory,
   parseChunkKey,
-} from '../src/core/records.js';
+} from '../src/core/persistence/index.js';
 import { CoreBench, job, report, task, TERM } from './standins/core.js';
 import { seeded, testSettings, TIGHT, UNSEEN, World } from './standins/world.js';
 
