--- a/src/controller/report-intake.ts
+++ b/src/controller/report-intake.ts
@@ -229,7 +229,8 @@
   #flushSoon(): void {
     if (this.#flushing) return;
     this.#flushing = true;
-    this.context.clock.soon(() => {
+    // Reports of a moment go together: each message costs the leader a pass over its queue.
+    void this.context.clock.sleep(this.context.timing.forwardHold).then(() => {
       this.#flushing = false;
       this.flush();
     });
--- a/src/core/timing.ts
+++ b/src/core/timing.ts
@@ -25,6 +25,8 @@
   readonly knock: number;
   /** How long an exit may wait to be written together with others of its job. */
   readonly exitHold: number;
+  /** How long a follower gathers reports before it forwards them. */
+  readonly forwardHold: number;
   /** How long a report may wait for the commit that its starts need. */
   readonly replyHold: number;
 }
--- a/src/settings.ts
+++ b/src/settings.ts
@@ -151,5 +151,6 @@
     knock: 0.3 * report,
     exitHold: 0.2 * lease,
     replyHold: 0.25 * report,
+    forwardHold: 0.02 * report,
   };
 }
