--- a/src/controller/shared-reports.ts
+++ b/src/controller/shared-reports.ts
@@ -131,10 +131,16 @@
     return node;
   }
 
-  /** Machines to which there has come to be something to say. */
+  /**
+   * Machines to which there has come to be something to say: told at once to the follower that each reports to.
+   * What a follower may answer by itself rests on the snapshots, which name them all.
+   */
   attend(machines: readonly string[]): void {
     if (!this.#isSharing) return;
-    for (const { node } of this.#loads) this.#outboxOf(node).attention.push(...machines);
+    for (const machine of machines) {
+      const home = this.#homes.get(machine);
+      if (home !== undefined) this.#outboxOf(home).attention.push(machine);
+    }
     this.#flushSoon();
   }
 
--- a/test/shared-reports.test.ts
+++ b/test/shared-reports.test.ts
@@ -325,7 +325,8 @@
 /** A leader's side of shared reports over a core with machines, and followers that are driven by hand. */
 class LeaderBench {
   readonly core = new CoreBench();
-  readonly clock = new ProcessClock(new VirtualClock(), 1, 0);
+  readonly world = new VirtualClock();
+  readonly clock = new ProcessClock(this.world, 1, 0);
   readonly pushed: string[] = [];
   readonly sent: IntakeMessage[] = [];
   taking = true;
@@ -394,6 +395,18 @@
     expect(bench.shared.redirect(report('m', 3))).toBeNull();
   });
 
+  test('tells a follower at once of what it has to say to the workers that report there', async () => {
+    const bench = new LeaderBench();
+    bench.shared.tell();
+    bench.shared.attend(['m']);
+    await bench.world.runUntil(10);
+    expect(bench.sent).toHaveLength(1);
+    bench.receive({});
+    bench.shared.attend(['m']);
+    await bench.world.runUntil(20);
+    expect(bench.sent.at(-1)).toMatchObject({ attention: ['m'], isSnapshot: false });
+  });
+
   test('tells followers of all that it has something to say to, and of what proved its view', () => {
     const bench = new LeaderBench();
     bench.core.add(job('req-1', 1, 4, 50));
