--- a/src/controller/report-intake.ts
+++ b/src/controller/report-intake.ts
@@ -289,9 +289,11 @@
       const waiting = this.#pending.get(reference);
       this.#pending.delete(reference);
       if (waiting === undefined) continue;
-      const { machine, session, seq } = waiting.report;
+      const { machine, session, seq, token } = waiting.report;
       const known = this.#known.get(machine);
-      if (known?.session === session && known.seq === seq) known.isAnswered = able && commands.length === 0;
+      // A report that came before its worker had seen the token does not tell the leader the whole.
+      if (known?.session === session && known.seq === seq)
+        known.isAnswered = able && commands.length === 0 && token === message.term;
       if (pending) this.#view?.attention.add(machine);
       if (able) waiting.done(200, this.context.encodeAnswer(message.term, commands));
       else this.context.answerAlone(waiting.report, waiting.done);
--- a/test/shared-reports.test.ts
+++ b/test/shared-reports.test.ts
@@ -143,6 +143,17 @@
     }
   });
 
+  // Idle machines that had just come up were taken for silent, and given back one after the other.
+  test('not before the leader has had a report that carries its token', async () => {
+    const bench = new IntakeBench();
+    bench.snapshot();
+    await bench.take(1, [], { token: 0 });
+    bench.answer();
+    expect(await bench.take(2, [])).toMatch(/^forwarded/);
+    bench.answer();
+    expect(await bench.take(3, [])).toBe(LOCAL);
+  });
+
   test('not while an exit waits to be written: only the leader can say when it may be forgotten', async () => {
     const bench = await IntakeBench.settled();
     const exited = [task('req-1/0', 1, 'exited', 'done')];
