--- a/src/policy.ts
+++ b/src/policy.ts
@@ -34,7 +34,8 @@
     scope: 'cluster',
     least: 1,
     most: 1_000_000_000,
-    source: 'controllers < 2.0 ? 1000000000.0 : 400.0 * report_s * cpu_quota',
+    // A leader on a whole core hears some 2,100 reports a second (0.47 ms each): from 0.8 of that it shares them.
+    source: 'controllers < 2.0 ? 1000000000.0 : 1700.0 * report_s * cpu_quota',
   },
   headroom_memory_s: { scope: 'cluster', least: 1, most: DAY_S, source: '20.0 * lease_s' },
 } as const satisfies Record<string, Figure>;
