--- a/lab/measure/rules.ts
+++ b/lab/measure/rules.ts
@@ -57,17 +57,28 @@
 
   /** Checks all events up to a time. */
   checkUntil(time: number): void {
+    this.#takeUntil(time);
+    this.#checkCancelled(time);
+  }
+
+  #takeUntil(time: number): void {
     const due = this.#pending.filter(({ at }) => at <= time);
     if (due.length === 0) return;
     this.#pending = this.#pending.filter(({ at }) => at > time);
     due.sort((one, other) => one.at - other.at);
     for (const event of due) this.#take(event);
-    this.#checkCancelled(time);
+  }
+
+  /** Tasks of cancelled jobs that are on a machine still. */
+  get cancelledTasksOn(): number {
+    let count = 0;
+    for (const { on } of this.#cancelled.values()) count += on.size;
+    return count;
   }
 
   /** Checks what is left, at the end of a run. */
   finish(time: number): void {
-    this.checkUntil(Infinity);
+    this.#takeUntil(Infinity);
     this.#checkCancelled(time);
     if (this.started === 0) this.#break('nothing_ran', 'no task was started');
   }
--- a/lab/run.ts
+++ b/lab/run.ts
@@ -328,11 +328,21 @@
       await sleep(SECOND_MS);
       this.#rules.checkUntil(monotonicMs() - EVENTS_LATE_MS);
     }
+    await this.#awaitCancelled();
     await sleep(EVENTS_LATE_MS);
     this.#rules.finish(monotonicMs());
     this.#closeCloud();
   }
 
+  /** What was cancelled of late has its time to go; what stays longer breaks a rule. */
+  async #awaitCancelled(): Promise<void> {
+    const until = monotonicMs() + 1000 * this.scenario.cancelS + 2 * EVENTS_LATE_MS;
+    do {
+      await sleep(EVENTS_LATE_MS);
+      this.#rules.checkUntil(monotonicMs() - EVENTS_LATE_MS);
+    } while (this.#rules.cancelledTasksOn > 0 && monotonicMs() < until);
+  }
+
   #coreOf(name: string, seconds: number): { core: number; residentMb: number } | null {
     const pid = this.#processes.pid(name);
     const usage = pid === null ? null : readUsage(pid);
--- a/test/lab.test.ts
+++ b/test/lab.test.ts
@@ -93,6 +93,17 @@
   });
 });
 
+test('a task that was cancelled just before a run ends has its time, and no longer', () => {
+  const checker = new RuleChecker({ cancelMs: 100, limitOf: () => 8 });
+  checker.add([...SOUND.slice(0, 4), ...CANCELLED]);
+  checker.checkUntil(50);
+  expect(checker.cancelledTasksOn).toBe(2);
+  checker.finish(110);
+  expect(checker.violations).toEqual([]);
+  checker.checkUntil(116);
+  expect(checker.violations.map(({ rule }) => rule)).toEqual(['ran_cancelled', 'ran_cancelled']);
+});
+
 describe('scenarios', () => {
   const small = readScenario('lab/scenarios/small.json');
 
