--- a/lab/emulator/worker-host.ts
+++ b/lab/emulator/worker-host.ts
@@ -1,6 +1,7 @@
 /** A process that hosts hundreds of hollow workers, each with an address and a connection of its own. */
 import { createServer } from 'node:http';
 import { createServer as createListener, type Server } from 'node:net';
+import { parseAddress } from '../../src/settings.js';
 import type { JobDescription, LabEvent } from '../events.js';
 import type { FromWorkerHost, ToWorkerHost, WorkerHostSetup } from '../messages.js';
 import { hashShare, seededDraw } from '../random.js';
@@ -88,7 +89,7 @@
   }
 
   #up(machine: MachineIdentity): void {
-    const [host = '', port = '0'] = machine.address.split(':');
+    const { host, port } = parseAddress(machine.address);
     const client = new Map<string, JsonClient>();
     for (const one of this.setup.controllers) client.set(one.name, new JsonClient(one.host, one.port, 1));
     const send = async (
@@ -108,7 +109,7 @@
     const worker = new HollowWorker(machine, this.#context, send, draw);
     const listener = createListener((socket) => this.#http.emit('connection', socket));
     listener.on('error', (error) => tell({ kind: 'failed', reason: `${machine.address}: ${error.message}` }));
-    listener.listen(Number(port), host);
+    listener.listen(port, host);
     this.#workers.set(machine.name, { worker, client, listener });
     this.#byAddress.set(host, worker);
   }
@@ -120,7 +121,7 @@
     known.listener.close();
     for (const client of known.client.values()) client.close();
     this.#workers.delete(name);
-    this.#byAddress.delete(known.worker.identity.address.split(':')[0] ?? '');
+    this.#byAddress.delete(parseAddress(known.worker.identity.address).host);
   }
 
   #tellEvents(): void {
--- a/lab/events.ts
+++ b/lab/events.ts
@@ -35,11 +35,10 @@
   | { readonly kind: 'submitting'; readonly at: number; readonly job: JobDescription }
   /** A controller answered a submission. */
   | { readonly kind: 'submitted'; readonly at: number; readonly job: string; readonly status: number }
-  /** A controller answered a question; the stage is null if it was not 200. `askedAt`: when it was sent. */
+  /** A controller answered a question; the stage is null if it was not 200. */
   | {
       readonly kind: 'told';
       readonly at: number;
-      readonly askedAt: number;
       readonly job: string;
       readonly status: number;
       readonly stage: string | null;
--- a/lab/measure/samples.ts
+++ b/lab/measure/samples.ts
@@ -12,7 +12,7 @@
   /** Share of one core. */
   readonly core: number;
   readonly residentMb: number;
-  /** Workers whose reports it answered, if it tells. */
+  /** Bytes that it has written to other controllers in this second. */
   readonly peerBytes: number;
 }
 
--- a/lab/users.ts
+++ b/lab/users.ts
@@ -29,7 +29,6 @@
 
 interface OpenJob {
   readonly job: JobDescription;
-  accepted: boolean;
   lastTold: number;
 }
 
@@ -42,7 +41,6 @@
   #submitting = true;
   #stopped = false;
   submitted = 0;
-  refused = 0;
 
   constructor(
     private readonly scenario: Scenario,
@@ -167,7 +165,7 @@
   /** One job's user: submits, asks until it is over, and may cancel on the way. */
   async #follow(job: JobDescription, cancels: boolean): Promise<void> {
     if (!(await this.#submit(job))) return;
-    const open: OpenJob = { job, accepted: true, lastTold: monotonicMs() };
+    const open: OpenJob = { job, lastTold: monotonicMs() };
     this.#open.set(job.id, open);
     const cancelAfterMs = cancels ? 1000 * job.runS[1] * this.draw() : Infinity;
     const acceptedAt = monotonicMs();
@@ -193,18 +191,16 @@
       if (status === 400 || status === 422) break;
       await sleep(RETRY_MS);
     }
-    this.refused += 1;
     return false;
   }
 
   async #ask(open: OpenJob): Promise<boolean> {
     const { id } = open.job;
-    const askedAt = monotonicMs();
     const answer = await this.#choose()?.call('GET', `/v2/runs/${id}`, undefined, POLL_TIMEOUT_MS);
     const { stage } = (answer?.body ?? {}) as { stage?: unknown };
     const known = answer?.status === 200 && typeof stage === 'string' ? stage : null;
     const now = monotonicMs();
-    this.emit({ kind: 'told', at: now, askedAt, job: id, status: answer?.status ?? 0, stage: known });
+    this.emit({ kind: 'told', at: now, job: id, status: answer?.status ?? 0, stage: known });
     if (known !== null) open.lastTold = now;
     return known === 'done' || known === 'withdrawn';
   }
--- a/src/controller/shared-reports.ts
+++ b/src/controller/shared-reports.ts
@@ -55,8 +55,9 @@
   #isSharing = false;
   #movesLeft = 0;
   #balance: Balance | null = null;
-  /** Which follower a machine last reported to. */
+  /** Which follower a machine last reported to, and how many machines each follower has. */
   readonly #homes = new Map<string, string>();
+  readonly #counts = new Map<string, number>();
   /** Steady time at which a machine was last sent to a follower. */
   readonly #sentAt = new Map<string, number>();
   #loads: FollowerLoad[] = [];
@@ -68,10 +69,6 @@
     private readonly context: SharedReportsContext,
   ) {}
 
-  get isSharing(): boolean {
-    return this.#isSharing;
-  }
-
   /** Workers by follower, for the status page. */
   describe(): object {
     return {
@@ -84,6 +81,7 @@
   clear(): void {
     this.#isSharing = false;
     this.#homes.clear();
+    this.#counts.clear();
     this.#sentAt.clear();
     this.#outboxes.clear();
     this.#loads = [];
@@ -97,19 +95,40 @@
     if (leadership === null || message.term !== leadership.term) return;
     if (ageMs > MAX_AGE_SHARE * this.common.timing.workerLease) return;
     if (message.heartbeats.length > 0) {
-      for (const { machine } of message.heartbeats) this.#homes.set(machine, message.node);
+      for (const { machine } of message.heartbeats) this.#setHome(machine, message.node);
       const heartbeats = message.heartbeats.map((one) => ({ ...one, ageMs: one.ageMs + ageMs }));
       this.common.owner.push({ kind: 'heartbeats', heartbeats });
     }
     for (const { reference, report } of message.reports) {
-      this.#homes.set(report.machine, message.node);
+      this.#setHome(report.machine, message.node);
       this.context.push(report, ageMs, (answer) => this.#answer(message.node, { reference, ...answer }));
     }
   }
 
   /** A worker has reported to this node itself. */
   noteDirect(machine: string): void {
-    this.#homes.delete(machine);
+    this.#setHome(machine, null);
+  }
+
+  /** Keeps the counts with each change, so that a look at the loads costs nothing by the machine. */
+  #setHome(machine: string, node: string | null): void {
+    const before = this.#homes.get(machine) ?? null;
+    if (before === node) return;
+    if (before !== null) this.#counts.set(before, (this.#counts.get(before) ?? 1) - 1);
+    if (node === null) this.#homes.delete(machine);
+    else {
+      this.#homes.set(machine, node);
+      this.#counts.set(node, (this.#counts.get(node) ?? 0) + 1);
+    }
+  }
+
+  /** Forgets machines that are gone: only once more are remembered than there are. */
+  #forgetGone(): void {
+    const { machines } = this.common.owner.state;
+    if (this.#homes.size > machines.size)
+      for (const machine of this.#homes.keys()) if (!machines.has(machine)) this.#setHome(machine, null);
+    if (this.#sentAt.size > machines.size)
+      for (const machine of this.#sentAt.keys()) if (!machines.has(machine)) this.#sentAt.delete(machine);
   }
 
   /** The follower that a worker is to report to from now on; null: this node answers it. */
@@ -250,15 +269,10 @@
         { machines: machines.size, from, with: candidates.length },
         'sharing of reports',
       );
-    const counts = new Map<string, number>();
-    for (const [machine, node] of this.#homes) {
-      if (machines.has(machine)) counts.set(node, (counts.get(node) ?? 0) + 1);
-      else this.#homes.delete(machine);
-    }
-    for (const machine of this.#sentAt.keys()) if (!machines.has(machine)) this.#sentAt.delete(machine);
+    this.#forgetGone();
     // A follower that has not taken this leader's word would send every worker back.
     const taking = this.#isSharing ? candidates.filter(({ node }) => this.context.isTaking(node)) : [];
-    this.#loads = taking.map(({ node, zone }) => ({ node, zone, workers: counts.get(node) ?? 0 }));
+    this.#loads = taking.map(({ node, zone }) => ({ node, zone, workers: this.#counts.get(node) ?? 0 }));
     this.#movesLeft = movesAllowed(machines.size);
     this.#balance = this.#isSharing ? balance(this.#loads, this.#movesLeft) : null;
     // When it ends, those that were told of it are told so once.
--- a/test/lab.test.ts
+++ b/test/lab.test.ts
@@ -33,7 +33,6 @@
 const told = (at: number, status: number, stage: string | null): LabEvent => ({
   kind: 'told',
   at,
-  askedAt: at,
   job: 'req-1',
   status,
   stage,
--- a/test/standins/world.ts
+++ b/test/standins/world.ts
@@ -1,6 +1,5 @@
 /** The whole service against the stand-ins, with users of its own and faults drawn from a seed. */
 import { pino } from 'pino';
-import { unsafeUniformIntDistribution, xoroshiro128plus } from 'pure-rand';
 import { ControllerNode } from '../../src/controller/node.js';
 import { createPolicy } from '../../src/policy.js';
 import { lastingLimits, parseSettings, timing, type PlatformSettings } from '../../src/settings.js';
@@ -46,10 +45,8 @@
   });
 }
 
-export function seeded(seed: number): Draw {
-  const generator = xoroshiro128plus(seed);
-  return () => unsafeUniformIntDistribution(0, 0x3fffffff, generator) / 0x40000000;
-}
+/** Draws that are the same for the same seed. */
+export { seededDraw as seeded } from '../../lab/random.js';
 
 /** What a version before suspicion says of the others. */
 export const UNSEEN = {
