--- a/review/stand-ins/deployment.mjs
+++ b/review/stand-ins/deployment.mjs
@@ -19,23 +19,27 @@
 /** A case that cannot run. */
 export class CannotRun extends Error {}
 
-function freePorts(count) {
-  const servers = [];
-  const listen = () =>
-    new Promise((resolve, reject) => {
-      const server = createServer();
-      server.once('error', reject);
-      server.listen(0, '127.0.0.1', () => {
-        servers.push(server);
-        resolve(server.address().port);
-      });
-    });
-  return Promise.all(Array.from({ length: count }, listen)).then(async (ports) => {
-    await Promise.all(servers.map((server) => new Promise((resolve) => server.close(resolve))));
-    return ports;
+/** Ports below those that the system hands out by itself, so that nothing takes one before its controller starts. */
+const FIRST_PORT = 14_000;
+const LAST_PORT = 31_000;
+
+function isFree(port) {
+  return new Promise((resolve) => {
+    const probe = createServer();
+    probe.once('error', () => resolve(false));
+    probe.listen(port, '127.0.0.1', () => probe.close(() => resolve(true)));
   });
 }
 
+async function freePorts(count) {
+  const ports = new Set();
+  while (ports.size < count) {
+    const port = FIRST_PORT + Math.floor(Math.random() * (LAST_PORT - FIRST_PORT));
+    if (await isFree(port)) ports.add(port);
+  }
+  return [...ports];
+}
+
 /** The settings of a small site, as DEPLOY and the site pages have them; `change` alters the part `cluster`. */
 export function clusterSettings(change = {}) {
   const base = {
