--- a/review/1/test.mjs
+++ b/review/1/test.mjs
@@ -6,49 +6,45 @@
 const trouble = process.env.TROUBLE !== '0';
 const TASKS = trouble ? 2000 : 200;
 const WATCH_MS = 70_000;
-const halls = ['amman-east', 'aqaba-coast'];
+const halls = ['serra-norte', 'litoral-sul'];
 const types = [
   {
-    name: 'diwan-64',
-    cores: 64,
+    name: 'bancada-32',
+    cores: 32,
     gpus: 0,
-    memGb: 256,
-    cacheGb: 100,
+    memGb: 128,
+    cacheGb: 50,
     fetchGbPerS: 0.5,
-    hourly: 4.11,
-    lowPrice: 1.23,
-    readyS: 25,
+    hourly: 1.73,
+    lowPrice: 0.63,
+    readyS: 35,
     halls,
   },
 ];
 const deployment = new Deployment({
   recordFile: join(import.meta.dirname, 'record.txt'),
   cluster: clusterSettings({
-    zones: halls,
     teams: [
-      { name: 'studio-crew', cpus: 0, cpus_max: 0, gpus: 0, gpus_max: 0 },
-      { name: 'petra-partners', cpus: 0, cpus_max: 0, gpus: 0, gpus_max: 0 },
+      { name: 'plantao-partitura', cpus: 0, cpus_max: 0, gpus: 0, gpus_max: 0 },
+      { name: 'coral-convidado', cpus: 0, cpus_max: 0, gpus: 0, gpus_max: 0 },
     ],
-    workers: { report_s: 1, lease_s: 10, gang_wait_s: 50, gang_peer_s: 4, cancel_s: 40 },
-    state: { rps: 100, write_rps: 25, value_kb: 32, txn_ops: 20 },
-    cloud: { rps: 5, list_lag_s: 4 },
-    quota: { cpu: 0.085, ram_mb: 114, sockets: 600 },
   }),
-  zonesOfNodes: ['amman-east', 'aqaba-coast', 'amman-east'],
+  zonesOfNodes: ['serra-norte', 'litoral-sul', 'serra-norte'],
   types,
-  capacity: () => 1,
+  // The site's [[capacity]]: 25 and 20 ordinary machines, 60 and 53 spot machines.
+  capacity: (_bench, hall, borrowed) => (hall === 'serra-norte' ? (borrowed ? 60 : 25) : borrowed ? 53 : 20),
   bootMs: () => 2000,
   listLagMs: 4000,
 });
 
 await runCase(deployment, async (site) => {
   await site.start();
-  const rush = { crew: 'studio-crew', repertoire: 'opening-rush', urgency: 'high', cores: 2, memGb: 7 };
+  const rush = { repertoire: 'grade-urgente', urgency: 'high', cores: 2, memGb: 3.8 };
   await site.submit(site.describe('req-000001', { ...rush, expectedS: 30 }, () => 30));
   if (!(await site.until(() => site.runs.length === 1, 20_000)))
     throw new CannotRun('the first job was not started');
-  const clips = { crew: 'petra-partners', repertoire: 'clip-previews', movements: TASKS, expectedS: 5 };
-  const tiny = { ...clips, cores: 0.03, memGb: 0.1 };
+  const files = { crew: 'coral-convidado', repertoire: 'midi-avulsos', movements: TASKS, expectedS: 5 };
+  const tiny = { ...files, cores: 0.015, memGb: 0.05 };
   const accepted = await site.submit(
     site.describe('req-000002', tiny, () => 5),
     1,
