--- a/review/5/case.mjs
+++ b/review/5/case.mjs
@@ -15,7 +15,7 @@
 
 const JOB = 'req-000301';
 const TASKS = 8;
-const machine = (zone, spot) => ({ type: 'qasr-8', zone, spot });
+const machine = (zone) => ({ type: 'qasr-8', zone, spot: true });
 
 const world = new World(fileURLToPath(new URL('record.txt', import.meta.url)), {
   cluster: CLUSTER,
@@ -23,10 +23,7 @@
   types: TYPES,
   capacity: grownCapacity,
   bootMs,
-  machines: [false, false, true, true].flatMap((spot) => [
-    machine('amman-east', spot),
-    machine('aqaba-coast', spot),
-  ]),
+  machines: Array.from({ length: TASKS }, (_, i) => machine(i % 2 === 0 ? 'amman-east' : 'aqaba-coast')),
   runMs: () => 30_000,
 });
 
