A controller that may still pass on starts is not taken for fenced by its term

A silent controller counts as fenced if it has acknowledged the latest term and another node leads it. It may still hold a start that a leader handed to it before its promise, and pass it on for the rest of the start's lease. A leader's promise therefore names the followers to which it has given starts whose lease is not over; for these the term is no proof.

--- a/src/controller/node.ts
+++ b/src/controller/node.ts
@@ -265,6 +265,7 @@
           : times.leaderLeaseMs,
       promise: (revision) => commands.push({ kind: 'fenceStarts', revision }),
       send: (to, message) => this.sendStartFence(to, message),
+      relays: () => this.#sharedHeartbeats.relays(),
       readElectedLeader: () => this.#election.readElectedLeader(),
       acknowledgedTerm: (peer) => this.#peers.acknowledgedTerm(peer),
     });
--- a/src/controller/shared-heartbeats.ts
+++ b/src/controller/shared-heartbeats.ts
@@ -75,6 +75,8 @@
   readonly #redirectedAt = new Map<string, number>();
   #loads: FollowerLoad[] = [];
   readonly #outboxes = new Map<string, Outbox>();
+  /** By follower: monotonic time (ms) until which it may pass on starts; kept when this node no longer leads. */
+  readonly #startsUntil = new Map<string, number>();
   #isFlushScheduled = false;
 
   constructor(
@@ -90,7 +92,13 @@
     };
   }
 
-  /** Drops all state when this node no longer leads. */
+  /** Followers that may still pass on starts that they were sent. */
+  relays(): string[] {
+    const now = this.controller.ports.clock.monotonicMs();
+    return [...this.#startsUntil].flatMap(([node, until]) => (until > now ? [node] : []));
+  }
+
+  /** Drops the state of the leadership when this node no longer leads. */
   clear(): void {
     this.#isSharing = false;
     this.#followerByMachine.clear();
@@ -210,11 +218,11 @@
   #flush(node: string, outbox: Outbox): void {
     while (outbox.answers.length > 0 || outbox.attention.length > 0) {
       const attention = outbox.attention.splice(0, portionLength(outbox.attention, nameBytes));
-      this.#send(node, outbox, { answers: this.#takeAnswers(outbox), attention });
+      this.#send(node, outbox, { answers: this.#takeAnswers(node, outbox), attention });
     }
   }
 
-  #takeAnswers({ answers }: Outbox): ForwardedAnswer[] {
+  #takeAnswers(node: string, { answers }: Outbox): ForwardedAnswer[] {
     let commands = 0;
     let count = 0;
     for (const answer of answers) {
@@ -223,7 +231,10 @@
       count += 1;
     }
     const now = this.controller.ports.clock.monotonicMs();
-    return answers.splice(0, count).map((answer) => toForwardedAnswer(answer, now));
+    const taken = answers.splice(0, count);
+    const until = Math.max(...taken.map(({ startLease }) => startLease?.validUntil ?? 0));
+    if (until > (this.#startsUntil.get(node) ?? 0)) this.#startsUntil.set(node, until);
+    return taken.map((answer) => toForwardedAnswer(answer, now));
   }
 
   #send(
@@ -272,7 +283,10 @@
       // The snapshot lists all machines that need attention, so pending additions are dropped.
       outbox.attention = [];
       const redirect = this.#rebalancing?.from === node ? this.#rebalancing : undefined;
-      const content = { answers: this.#takeAnswers(outbox), attention: mayFollowersAnswer ? attention : [] };
+      const content = {
+        answers: this.#takeAnswers(node, outbox),
+        attention: mayFollowersAnswer ? attention : [],
+      };
       this.#send(node, outbox, {
         ...content,
         // Without a confirmed view followers answer nothing, as required while the leadership is transferred.
--- a/src/controller/start-fence.ts
+++ b/src/controller/start-fence.ts
@@ -35,6 +35,8 @@
   promise(revision: number): void;
   /** Sends a message; false: it cannot be sent. */
   send(to: string, message: StartFenceMessage): boolean;
+  /** Followers that may still pass on starts that this node gave them. */
+  relays(): readonly string[];
   /** Reads the latest term and its elected node from the store; null: not known. */
   readElectedLeader(): Promise<ElectedLeader | null>;
   /** The latest term that a peer has acknowledged in a status; null: none has arrived. */
@@ -64,6 +66,8 @@
   #fenced = 0;
   #promised = 0;
   readonly #promisedByPeer = new Map<string, number>();
+  /** By peer: the followers that may pass on starts of that peer, as of its latest promise. */
+  readonly #relaysByPeer = new Map<string, readonly string[]>();
   /** Revisions that peers have asked this node to promise and that it has not answered yet. */
   readonly #unanswered = new Map<string, number>();
   #requested = 0;
@@ -130,9 +134,12 @@
   }
 
   /** Processes a peer's message. */
-  receive({ node, requested, promised, fenced }: StartFenceMessage): void {
+  receive({ node, requested, promised, fenced, relays }: StartFenceMessage): void {
     if (!this.context.peers.includes(node)) return;
-    this.#promisedByPeer.set(node, Math.max(this.#promisedByPeer.get(node) ?? 0, promised));
+    if (promised >= (this.#promisedByPeer.get(node) ?? 0)) {
+      this.#promisedByPeer.set(node, promised);
+      this.#relaysByPeer.set(node, relays);
+    }
     this.#fenced = Math.max(this.#fenced, fenced);
     if (requested > this.#promised) {
       this.observe(requested);
@@ -164,16 +171,22 @@
   /**
    * The revision as of which a peer is known to hold no leadership: the latest leader as of it was another node, and
    * the peer has acknowledged that leader's term. It can lead again only in a later term, and then loads the jobs anew.
+   * A peer that may still pass on starts of a leader is not fenced.
    */
   #fencedByTerm(peer: string): number {
     const acknowledged = this.context.acknowledgedTerm(peer);
-    if (this.#leader === null || acknowledged === null) return 0;
+    if (this.#leader === null || acknowledged === null || this.#isRelay(peer)) return 0;
     const { term, node, revision } = this.#leader;
     const isSuperseded = acknowledged.term > term;
     const follows = acknowledged.term === term && !acknowledged.isLeader && node !== peer;
     return isSuperseded || follows ? revision : 0;
   }
 
+  #isRelay(peer: string): boolean {
+    const relayLists = [this.context.relays(), ...this.#relaysByPeer.values()];
+    return relayLists.some((relays) => relays.includes(peer));
+  }
+
   #requestPromises(revision: number, now: number): void {
     const isRepeated = revision <= this.#requested;
     if (isRepeated && now - this.#requestedAt < this.context.retryIntervalMs) return;
@@ -186,7 +199,8 @@
 
   #send(peer: string, requested: number): void {
     const { node } = this.context;
-    this.context.send(peer, { node, requested, promised: this.#promised, fenced: this.#fenced });
+    const relays = this.context.relays();
+    this.context.send(peer, { node, requested, promised: this.#promised, fenced: this.#fenced, relays });
   }
 
   /** Reads the latest leader, unless it is known as of this revision already or an attempt has just failed. */
