Start fence: runs with random faults, and tests of the clock drift and of a loading leader

Two guards were not held by a test when each was taken out: the drift of two clocks in the wait, and that a node that loads its state as the leader does not acknowledge a later term. Both have one now.

--- a/test/start-fence.test.ts
+++ b/test/start-fence.test.ts
@@ -1,15 +1,22 @@
 /** No start leaves a controller once a user has been told that its job is cancelled. */
+import fc from 'fast-check';
 import { pino } from 'pino';
 import { describe, expect, test } from 'vitest';
 import { timing } from '../src/config/settings.js';
+import type { ControllerContext } from '../src/controller/context.js';
+import { PeerExchange } from '../src/controller/peer-exchange.js';
 import { StartFence, type AcknowledgedTerm } from '../src/controller/start-fence.js';
 import { releasableCommands } from '../src/core/fleet/index.js';
 import { RevisionAges } from '../src/membership/revision-ages.js';
-import { encodeStartFence, PeerMessageReader } from '../src/wire/peers.js';
+import { encodeStartFence, PeerMessageReader, type PeerStatus } from '../src/wire/peers.js';
 import type { StartFenceMessage } from '../src/wire/start-fence.js';
 import { ProcessClock, VirtualClock } from './emulators/clock.js';
 import { CoreHarness, heartbeatOf, job } from './emulators/core-harness.js';
-import { NODES, seeded, Simulation, testSettings } from './emulators/simulation.js';
+import { NO_OBSERVATIONS, NODES, seeded, Simulation, testSettings } from './emulators/simulation.js';
+
+/** Number of runs with random faults, and the seed from which they are drawn. */
+const RANDOM_RUNS = Number(process.env['DAYS'] ?? 60);
+const RANDOM_SEED = Number(process.env['SEED'] ?? 56);
 
 const TIMES = timing(testSettings(0));
 const JOB = {
@@ -147,7 +154,10 @@
       onCancel: (running) => {
         const leader = NODES.indexOf(running.leaders()[0] ?? '');
         for (const node of [0, 1, 2])
-          if (node !== leader) running.clock.in(40, () => running.crash(node, 100));
+          if (node !== leader)
+            running.clock.in(40, () => {
+              running.crash(node, 100);
+            });
       },
     });
     expect(simulation.checker.violations).toEqual([]);
@@ -169,6 +179,82 @@
   });
 });
 
+/** A further fault, `afterMs` after the cancellation was requested; `other` is the second node of a partition. */
+interface FurtherFault {
+  readonly kind: 'crash' | 'pause' | 'refuse peers' | 'outage' | 'refuse' | 'partition';
+  readonly afterMs: number;
+  readonly forMs: number;
+  readonly node: number;
+  readonly other: number;
+}
+
+function inject(simulation: Simulation, { kind, forMs, node, other }: FurtherFault): void {
+  const { store, network } = simulation;
+  switch (kind) {
+    case 'crash':
+      simulation.crash(node, forMs);
+      return;
+    case 'pause':
+      simulation.pause(node, forMs);
+      return;
+    case 'refuse peers':
+      simulation.refusePeers(forMs);
+      return;
+    case 'outage':
+      store.outage(forMs);
+      return;
+    case 'refuse':
+      store.refuse(NODES[node] ?? '', forMs);
+      return;
+    case 'partition':
+      network.partition(NODES[node] ?? '', NODES[other] ?? '', forMs);
+  }
+}
+
+/** Polls the job at a node until a time. */
+async function pollUntil(simulation: Simulation, node: string, until: number): Promise<void> {
+  while (simulation.clock.now < until) {
+    await simulation.queryStage(JOB.id, node);
+    await simulation.clock.sleep(60);
+  }
+}
+
+const drawnFault: fc.Arbitrary<FurtherFault> = fc.record({
+  kind: fc.constantFrom('crash', 'pause', 'refuse peers', 'outage', 'refuse', 'partition'),
+  afterMs: fc.integer({ min: 0, max: 2500 }),
+  forMs: fc.integer({ min: 20, max: 5000 }),
+  node: fc.integer({ min: 0, max: 2 }),
+  other: fc.integer({ min: 0, max: 2 }),
+});
+const drawnTrouble = fc.record({
+  seed: fc.integer({ min: 1, max: 1e6 }),
+  refusedAfterMs: fc.integer({ min: 0, max: 1200 }),
+  cancelledAfterMs: fc.integer({ min: 0, max: 800 }),
+  isCutFromPeers: fc.boolean(),
+  sharing: fc.boolean(),
+  forMs: fc.integer({ min: 500, max: 12_000 }),
+  faults: fc.array(drawnFault, { maxLength: 3 }),
+});
+
+// Jobs are cancelled while the leader is refused or cut, controllers crash or stand still, and others are elected.
+test('whatever meets a refusal of the leader, no start follows a confirmed cancellation', async () => {
+  await fc.assert(
+    fc.asyncProperty(drawnTrouble, async ({ faults, ...trouble }) => {
+      const { simulation } = await playTrouble({
+        ...trouble,
+        onCancel: (running) => {
+          for (const node of NODES) void pollUntil(running, node, running.clock.now + 6000);
+          for (const fault of faults) running.clock.in(fault.afterMs, () => inject(running, fault));
+        },
+      });
+      expect(simulation.checker.violations).toEqual([]);
+      // The cancellation was confirmed in the end.
+      expect(simulation.checker.isOver(JOB.id)).toBe(true);
+    }),
+    { seed: RANDOM_SEED, numRuns: RANDOM_RUNS, endOnFailure: true },
+  );
+});
+
 test('without faults a cancellation is confirmed within some messages between controllers', async () => {
   const simulation = new Simulation(seeded(5));
   simulation.runtimes.set(JOB.id, [60_000, 0]);
@@ -264,6 +350,12 @@
     expect(harness.sent.length).toBeLessThanOrEqual(2 + LEASE_MS / RETRY_MS);
   });
 
+  test('not before a leader whose clock runs slower by the drift of two clocks', async () => {
+    const harness = new FenceHarness();
+    harness.maxStartLeaseMs = 20_000;
+    expect(await harness.wait(10, 30_000)).toBeGreaterThanOrEqual(20_010);
+  });
+
   test('counted from when the revision was known, also without a request', async () => {
     const harness = new FenceHarness();
     harness.fence.observe(10);
@@ -415,6 +507,31 @@
   expect(releasableCommands([stop], undefined, 1000)).toEqual([stop]);
 });
 
+// It may still begin to lead on what it has read: its status must not say that it has given the term up.
+test('a node that loads its state as the leader acknowledges no later term', () => {
+  const harness = new CoreHarness();
+  harness.state.leadership = null;
+  const leadershipView = { leader: 'n-1', leaderRevision: 9, highestTerm: 7, leadingTerm: 6 };
+  const context = {
+    settings: testSettings(0),
+    timing: TIMES,
+    ports: { clock: new ProcessClock(new VirtualClock(), 1, 0), store: { lastContactAt: () => null } },
+    commands: { state: harness.state },
+    leadershipView,
+  } as unknown as ControllerContext;
+  const status = (): PeerStatus =>
+    new PeerExchange(
+      context,
+      () => [],
+      () => false,
+      () => undefined,
+      () => NO_OBSERVATIONS,
+    ).status();
+  expect(status()).toMatchObject({ term: 6, isLeader: false });
+  leadershipView.leadingTerm = 0;
+  expect(status()).toMatchObject({ term: 7, isLeader: false });
+});
+
 test('messages about the fence round-trip, and earlier versions do not take them for a status', () => {
   const message = { node: 'n-1', requested: 2 ** 40, promised: 7, fenced: 6, relays: ['n-2'] };
   const received: StartFenceMessage[] = [];
