--- a/src/controller/node.ts
+++ b/src/controller/node.ts
@@ -265,7 +265,7 @@
           : times.leaderLeaseMs,
       promise: (revision) => commands.push({ kind: 'fenceStarts', revision }),
       send: (to, message) => this.sendStartFence(to, message),
-      relays: () => this.#sharedHeartbeats.relays(),
+      forwarders: () => this.#sharedHeartbeats.forwarders(),
       readElectedLeader: () => this.#election.readElectedLeader(),
       acknowledgedTerm: (peer) => this.#peers.acknowledgedTerm(peer),
     });
--- a/src/controller/shared-heartbeats.ts
+++ b/src/controller/shared-heartbeats.ts
@@ -93,7 +93,7 @@
   }
 
   /** Followers that may still pass on starts that they were sent. */
-  relays(): string[] {
+  forwarders(): string[] {
     const now = this.controller.ports.clock.monotonicMs();
     return [...this.#startsUntil].flatMap(([node, until]) => (until > now ? [node] : []));
   }
--- a/src/controller/start-fence.ts
+++ b/src/controller/start-fence.ts
@@ -36,7 +36,7 @@
   /** Sends a message; false: it cannot be sent. */
   send(to: string, message: StartFenceMessage): boolean;
   /** Followers that may still pass on starts that this node gave them. */
-  relays(): readonly string[];
+  forwarders(): readonly string[];
   /** Reads the latest term and its elected node from the store; null: not known. */
   readElectedLeader(): Promise<ElectedLeader | null>;
   /** The latest term that a peer has acknowledged in a status; null: none has arrived. */
@@ -67,7 +67,7 @@
   #promised = 0;
   readonly #promisedByPeer = new Map<string, number>();
   /** By peer: the followers that may pass on starts of that peer, as of its latest promise. */
-  readonly #relaysByPeer = new Map<string, readonly string[]>();
+  readonly #forwardersByPeer = new Map<string, readonly string[]>();
   /** Revisions that peers have asked this node to promise and that it has not answered yet. */
   readonly #unanswered = new Map<string, number>();
   #requested = 0;
@@ -134,11 +134,11 @@
   }
 
   /** Processes a peer's message. */
-  receive({ node, requested, promised, fenced, relays }: StartFenceMessage): void {
+  receive({ node, requested, promised, fenced, forwarders }: StartFenceMessage): void {
     if (!this.context.peers.includes(node)) return;
     if (promised >= (this.#promisedByPeer.get(node) ?? 0)) {
       this.#promisedByPeer.set(node, promised);
-      this.#relaysByPeer.set(node, relays);
+      this.#forwardersByPeer.set(node, forwarders);
     }
     this.#fenced = Math.max(this.#fenced, fenced);
     if (requested > this.#promised) {
@@ -175,16 +175,16 @@
    */
   #fencedByTerm(peer: string): number {
     const acknowledged = this.context.acknowledgedTerm(peer);
-    if (this.#leader === null || acknowledged === null || this.#isRelay(peer)) return 0;
+    if (this.#leader === null || acknowledged === null || this.#isForwarder(peer)) return 0;
     const { term, node, revision } = this.#leader;
     const isSuperseded = acknowledged.term > term;
     const follows = acknowledged.term === term && !acknowledged.isLeader && node !== peer;
     return isSuperseded || follows ? revision : 0;
   }
 
-  #isRelay(peer: string): boolean {
-    const relayLists = [this.context.relays(), ...this.#relaysByPeer.values()];
-    return relayLists.some((relays) => relays.includes(peer));
+  #isForwarder(peer: string): boolean {
+    const forwarderLists = [this.context.forwarders(), ...this.#forwardersByPeer.values()];
+    return forwarderLists.some((forwarders) => forwarders.includes(peer));
   }
 
   #requestPromises(revision: number, now: number): void {
@@ -199,8 +199,8 @@
 
   #send(peer: string, requested: number): void {
     const { node } = this.context;
-    const relays = this.context.relays();
-    this.context.send(peer, { node, requested, promised: this.#promised, fenced: this.#fenced, relays });
+    const forwarders = this.context.forwarders();
+    this.context.send(peer, { node, requested, promised: this.#promised, fenced: this.#fenced, forwarders });
   }
 
   /** Reads the latest leader, unless it is known as of this revision already or an attempt has just failed. */
--- a/src/wire/start-fence.ts
+++ b/src/wire/start-fence.ts
@@ -15,7 +15,7 @@
   /** No controller sends a start any more on a view that does not cover this revision. */
   readonly fenced: number;
   /** Followers that may still pass on starts that the sender gave them before its promise. */
-  readonly relays: readonly string[];
+  readonly forwarders: readonly string[];
 }
 
 /** Protobuf type of the message, nested in the same namespace as the types of the peers' status. */
@@ -26,7 +26,7 @@
       requested: { type: 'double', id: 2 },
       promised: { type: 'double', id: 3 },
       fenced: { type: 'double', id: 4 },
-      relays: { rule: 'repeated', type: 'string', id: 5 },
+      forwarders: { rule: 'repeated', type: 'string', id: 5 },
     },
   },
 };
--- a/test/emulators/golden-messages.ts
+++ b/test/emulators/golden-messages.ts
@@ -23,7 +23,7 @@
 import { settingsFaults } from '../../src/config/settings.js';
 import type { ListedMachine } from '../../src/core/types.js';
 import type { IntakeMessage } from '../../src/wire/intake.js';
-import { encodeIntake, encodeStatus, type PeerStatus } from '../../src/wire/peers.js';
+import { encodeIntake, encodeStartFence, encodeStatus, type PeerStatus } from '../../src/wire/peers.js';
 import { encodeJobView, parseSubmission } from '../../src/wire/users.js';
 import { encodeDirectCommands, encodeRedirect, encodeReply, parseHeartbeat } from '../../src/wire/workers.js';
 import { startBusyCluster } from './busy-cluster.js';
@@ -153,6 +153,19 @@
   ];
 }
 
+/** Messages about the start fence, and a forwarded answer that states the lease of its start, in hexadecimal. */
+export function startFence(): string[] {
+  const answer = { reference: 1, isAccepted: true, needsAttention: false, commands: COMMANDS };
+  const leased = { ...answer, startLease: { remainingMs: 1250, viewRevision: 412 } };
+  const answers = { kind: 'answers', ...ENVELOPE, number: 3, attention: [], redirect: null } as const;
+  const message = { node: 'n-1', requested: 0, promised: 412, fenced: 400, forwarders: [] };
+  return [
+    `promise ${hex(encodeStartFence(message))}`,
+    `request ${hex(encodeStartFence({ ...message, requested: 420, forwarders: ['n-2'] }))}`,
+    `answers ${hex(encodeIntake({ ...answers, answers: [leased], isSnapshot: false, isSharing: true, viewConfirmedAt: 0 }))}`,
+  ];
+}
+
 /** Messages to workers. */
 export function workers(): string[] {
   return [
--- a/test/shared-reports.test.ts
+++ b/test/shared-reports.test.ts
@@ -515,7 +515,7 @@
       { ...answer, startLease: { validUntil: now + 0.9, viewRevision: 70 } },
       { ...answer, commands: [stop] },
     );
-    expect(harness.shared.relays()).toEqual([]);
+    expect(harness.shared.forwarders()).toEqual([]);
     for (let i = 0; i < 3; i += 1) harness.receive({});
     await harness.virtualClock.runUntil(10);
     const sent = harness.sent.flatMap((message) => (message.kind === 'answers' ? message.answers : []));
@@ -526,9 +526,9 @@
     ]);
     // The follower may pass them on until then, also if this node no longer leads.
     harness.shared.clear();
-    expect(harness.shared.relays()).toEqual(['n-1']);
+    expect(harness.shared.forwarders()).toEqual(['n-1']);
     await harness.virtualClock.runUntil(701);
-    expect(harness.shared.relays()).toEqual([]);
+    expect(harness.shared.forwarders()).toEqual([]);
   });
 
   test('sends followers all machines that need attention and the confirmation of its view', () => {
--- a/test/start-fence.test.ts
+++ b/test/start-fence.test.ts
@@ -280,7 +280,7 @@
   maxStartLeaseMs = LEASE_MS;
   /** Whether this node's own promises are answered. */
   promises = true;
-  relays: readonly string[] = [];
+  forwarders: readonly string[] = [];
   readonly fence: StartFence = new StartFence({
     clock: this.clock,
     log: pino({ level: 'silent' }),
@@ -295,13 +295,13 @@
       this.sent.push([to, message]);
       return true;
     },
-    relays: () => this.relays,
+    forwarders: () => this.forwarders,
     readElectedLeader: () => Promise.resolve(this.leader),
     acknowledgedTerm: (peer) => this.acknowledged.get(peer) ?? null,
   });
 
   receive(node: string, message: Partial<StartFenceMessage>): void {
-    this.fence.receive({ node, requested: 0, promised: 0, fenced: 0, relays: [], ...message });
+    this.fence.receive({ node, requested: 0, promised: 0, fenced: 0, forwarders: [], ...message });
   }
 
   /** Waits for a revision; returns how long it took in milliseconds, or null if it was not fenced in time. */
@@ -396,16 +396,16 @@
 
   test('not sooner than its leases for a silent peer that may still pass on starts of a leader', async () => {
     const harness = new FenceHarness();
-    harness.receive('b', { promised: 10, relays: ['c'] });
+    harness.receive('b', { promised: 10, forwarders: ['c'] });
     harness.leader = { term: 3, node: 'b' };
     harness.acknowledged.set('c', { term: 3, isLeader: false });
     expect(await harness.wait(10)).toBeGreaterThanOrEqual(LEASE_MS);
     // An earlier message that arrives late takes nothing back.
     harness.receive('b', { promised: 20 });
-    harness.receive('b', { promised: 15, relays: ['c'] });
+    harness.receive('b', { promised: 15, forwarders: ['c'] });
     expect(await harness.wait(20)).toBeLessThan(RETRY_MS);
     harness.receive('b', { promised: 30 });
-    harness.relays = ['c'];
+    harness.forwarders = ['c'];
     expect(await harness.wait(30)).toBeGreaterThanOrEqual(LEASE_MS);
   });
 
@@ -533,7 +533,7 @@
 });
 
 test('messages about the fence round-trip, and earlier versions do not take them for a status', () => {
-  const message = { node: 'n-1', requested: 2 ** 40, promised: 7, fenced: 6, relays: ['n-2'] };
+  const message = { node: 'n-1', requested: 2 ** 40, promised: 7, fenced: 6, forwarders: ['n-2'] };
   const received: StartFenceMessage[] = [];
   const frame = encodeStartFence(message);
   const reader = new PeerMessageReader(
