--- a/src/controller/leader-role.ts
+++ b/src/controller/leader-role.ts
@@ -1,6 +1,6 @@
 /** The leader's role: it loads the records that earlier leaders have committed, then watches the jobs and the cloud. */
 import { readJob } from '../adapters/job-reader.js';
-import type { LoadedChunk, ReconciledRecords } from '../core/effects.js';
+import type { CommandOf, LoadedChunk, ReconciledRecords } from '../core/effects.js';
 import {
   decodeChunk,
   decodeRelay,
@@ -23,7 +23,7 @@
 import type { ElectionResult } from '../membership/election.js';
 import type { PlatformSettings } from '../config/settings.js';
 import { initialLayout, formatRecord, upgradedLayout } from '../config/record-layout.js';
-import type { Entry } from '../wire/key-value-store.js';
+import type { Entry, KeyChange } from '../wire/key-value-store.js';
 import type { PeerExchange } from './peer-exchange.js';
 import type { FailureDetector } from './failure-detector.js';
 import type { ControllerContext } from './context.js';
@@ -37,6 +37,30 @@
   return jobs;
 }
 
+function decodeChunks(entries: readonly Entry[]): LoadedChunk[] {
+  const chunks: LoadedChunk[] = [];
+  for (const { key, value, modRevision } of entries) {
+    const name = parseChunkKey(key);
+    const record = decodeChunk(value);
+    if (name !== null && record !== null)
+      chunks.push({ job: name.job, name, record: { value: record, modRevision } });
+  }
+  return chunks;
+}
+
+/** The records with which a leadership begins. */
+interface LoadedRecords {
+  /** Monotonic time (ms) before the first request. */
+  readonly sentAt: number;
+  /** Revision as of which the jobs were read. */
+  readonly revision: number;
+  readonly jobs: readonly Versioned<JobSpec>[];
+  readonly chunks: readonly LoadedChunk[];
+  readonly demandHistory: readonly ClassDemandRecord[];
+  /** Null: no format record exists. */
+  readonly format: FormatRecord | null;
+}
+
 /**
  * Chooses the nodes that are preferred as leaders: those whose next node, by name, is in another zone. A worker that
  * loses contact with its node tries the next one, which takes some seconds for each node. In a partition between
@@ -141,60 +165,68 @@
 
   /** Loads the records that earlier leaders have committed, then watches the jobs. */
   async takeLeadership(election: ElectionResult): Promise<void> {
-    this.context.leadershipView.highestTerm = Math.max(
-      this.context.leadershipView.highestTerm,
-      election.term,
-    );
-    this.context.leadershipView.leader = this.context.settings.host_name;
-    this.context.leadershipView.leadingTerm = election.term;
-    this.context.ports.log.info({ term: election.term }, 'leader elected');
+    const { leadershipView, settings, ports, timing, commands } = this.context;
+    leadershipView.highestTerm = Math.max(leadershipView.highestTerm, election.term);
+    leadershipView.leader = settings.host_name;
+    leadershipView.leadingTerm = election.term;
+    ports.log.info({ term: election.term }, 'leader elected');
     for (;;) {
-      const sentAt = this.context.ports.clock.monotonicMs();
-      const [jobs, runs, demandHistory, format] = await Promise.all([
-        this.context.ports.store.list(JOB_PREFIX),
-        this.context.ports.store.list(RUN_PREFIX),
-        this.#readDemandHistory(),
-        this.#readFormat(election.modRevision),
-      ]);
-      if (
-        this.context.leadershipView.leadingTerm !== election.term ||
-        this.context.leadershipView.highestTerm > election.term
-      )
-        return;
-      if (jobs === 'unknown' || runs === 'unknown' || demandHistory === 'unknown' || format === 'unknown') {
-        await this.context.ports.clock.sleep(this.context.timing.tickMs);
+      const loaded = await this.#loadRecords(election);
+      if (leadershipView.leadingTerm !== election.term || leadershipView.highestTerm > election.term) return;
+      if (loaded === null) {
+        await ports.clock.sleep(timing.tickMs);
         continue;
       }
-      const chunks: LoadedChunk[] = [];
-      for (const { key, value, modRevision } of runs.entries) {
-        const name = parseChunkKey(key);
-        const record = decodeChunk(value);
-        if (name !== null && record !== null)
-          chunks.push({ job: name.job, name, record: { value: record, modRevision } });
-      }
-      const { term, modRevision } = election;
-      this.context.commands.push({
-        kind: 'becomeLeader',
-        term,
-        modRevision,
-        viewConfirmedAt: sentAt,
-        viewRevision: jobs.revision,
-        layout:
-          format === null
-            ? initialLayout(this.context.settings)
-            : upgradedLayout(this.context.settings, format),
-        legacyChunkTasks: format?.wide ?? initialLayout(this.context.settings).tasksPerChunk,
-        jobs: decodeJobs(jobs.entries),
-        chunks,
-        demandHistory,
-        silentZones: this.peers.recentlySilentZones(),
-        previousLeaderMayBeAlive: election.previousLeader === 'unknown' && term > 1,
-      });
-      await this.#watchJobs(term, jobs.revision);
+      commands.push(this.#becomeLeader(election, loaded));
+      await this.#watchJobs(election.term, loaded.revision);
       return;
     }
   }
 
+  /** Reads all records that a new leader needs; null: the store did not answer. */
+  async #loadRecords(election: ElectionResult): Promise<LoadedRecords | null> {
+    const { store, clock } = this.context.ports;
+    const sentAt = clock.monotonicMs();
+    const [jobs, runs, demandHistory, format] = await Promise.all([
+      store.list(JOB_PREFIX),
+      store.list(RUN_PREFIX),
+      this.#readDemandHistory(),
+      this.#readFormat(election.modRevision),
+    ]);
+    if (jobs === 'unknown' || runs === 'unknown' || demandHistory === 'unknown' || format === 'unknown')
+      return null;
+    return {
+      sentAt,
+      revision: jobs.revision,
+      jobs: decodeJobs(jobs.entries),
+      chunks: decodeChunks(runs.entries),
+      demandHistory,
+      format,
+    };
+  }
+
+  #becomeLeader(
+    { term, modRevision, previousLeader }: ElectionResult,
+    { sentAt, revision, jobs, chunks, demandHistory, format }: LoadedRecords,
+  ): CommandOf<'becomeLeader'> {
+    const { settings } = this.context;
+    const layout = initialLayout(settings);
+    return {
+      kind: 'becomeLeader',
+      term,
+      modRevision,
+      viewConfirmedAt: sentAt,
+      viewRevision: revision,
+      layout: format === null ? layout : upgradedLayout(settings, format),
+      legacyChunkTasks: format?.wide ?? layout.tasksPerChunk,
+      jobs,
+      chunks,
+      demandHistory,
+      silentZones: this.peers.recentlySilentZones(),
+      previousLeaderMayBeAlive: previousLeader === 'unknown' && term > 1,
+    };
+  }
+
   /** Reads the job classes' demand history: the record of earlier versions, and the parts that this version writes. */
   async #readDemandHistory(): Promise<ClassDemandRecord[] | 'unknown'> {
     const [legacyRecord, parts] = await Promise.all([
@@ -229,36 +261,34 @@
 
   /** Watches the jobs while this node leads; each answer confirms the leader's view as of its request. */
   async #watchJobs(term: number, revision: number): Promise<void> {
+    const { leadershipView, ports, timing, commands } = this.context;
     let after = revision;
-    while (this.context.leadershipView.leadingTerm === term) {
-      const sentAt = this.context.ports.clock.monotonicMs();
-      const found = await this.context.ports.store.watch(
-        JOB_PREFIX,
-        after,
-        this.context.timing.watchTimeoutMs,
-      );
+    while (leadershipView.leadingTerm === term) {
+      const sentAt = ports.clock.monotonicMs();
+      const found = await ports.store.watch(JOB_PREFIX, after, timing.watchTimeoutMs);
       if (found.kind === 'unknown') {
-        await this.context.ports.clock.sleep(this.context.timing.tickMs);
-      } else if (found.kind === 'tooOld') {
-        const jobs = await this.context.ports.store.list(JOB_PREFIX);
+        await ports.clock.sleep(timing.tickMs);
+        continue;
+      }
+      if (found.kind === 'tooOld') {
+        const jobs = await ports.store.list(JOB_PREFIX);
         if (jobs === 'unknown') continue;
         after = jobs.revision;
-        this.context.commands.push({
-          kind: 'jobsReplaced',
-          jobs: decodeJobs(jobs.entries),
-          revision: jobs.revision,
-        });
-        this.context.commands.push({ kind: 'viewConfirmed', sentAt, revision: jobs.revision });
+        commands.push({ kind: 'jobsReplaced', jobs: decodeJobs(jobs.entries), revision: after });
       } else {
         after = found.revision;
-        for (const { key, value, modRevision } of found.changes) {
-          const spec = decodeJob(value);
-          if (value === undefined) this.context.commands.push({ kind: 'jobRemoved', id: jobIdOfKey(key) });
-          else if (spec !== null)
-            this.context.commands.push({ kind: 'jobAdded', job: { value: spec, modRevision } });
-        }
-        this.context.commands.push({ kind: 'viewConfirmed', sentAt, revision: found.revision });
+        this.#applyChanges(found.changes);
       }
+      commands.push({ kind: 'viewConfirmed', sentAt, revision: after });
+    }
+  }
+
+  #applyChanges(changes: readonly KeyChange[]): void {
+    const { commands } = this.context;
+    for (const { key, value, modRevision } of changes) {
+      const spec = decodeJob(value);
+      if (value === undefined) commands.push({ kind: 'jobRemoved', id: jobIdOfKey(key) });
+      else if (spec !== null) commands.push({ kind: 'jobAdded', job: { value: spec, modRevision } });
     }
   }
 
--- a/src/controller/start-fence.ts
+++ b/src/controller/start-fence.ts
@@ -102,19 +102,13 @@
     if (this.isFenced(revision)) return true;
     const { clock, retryIntervalMs } = this.context;
     const startedAt = clock.monotonicMs();
-    const leasesEndAt = (this.#ages.firstKnownAt(revision) ?? startedAt) + this.#waitMs;
-    const waitsForLeases = leasesEndAt <= deadline;
-    const until = waitsForLeases
-      ? leasesEndAt + CLOCK_RESOLUTION_MS
-      : Math.min(deadline, startedAt + PROMISE_RETRIES * retryIntervalMs);
-    for (let now = startedAt; now < until; now = clock.monotonicMs()) {
-      const waitedMs = now - startedAt;
+    const until = this.#waitLimit(revision, deadline, startedAt);
+    const readsLeaderAt = startedAt + LEADER_READ_DELAY_SHARE * retryIntervalMs;
+    for (let now = startedAt; now < until && !this.isFenced(revision); now = clock.monotonicMs()) {
       this.#requestPromises(revision, now);
-      const readsLeaderAt = LEADER_READ_DELAY_SHARE * retryIntervalMs;
-      if (waitedMs >= readsLeaderAt) void this.#readLeader(revision, now);
-      const pauseMs = waitedMs < readsLeaderAt ? readsLeaderAt - waitedMs : retryIntervalMs;
-      await this.#untilChange(Math.ceil(Math.min(pauseMs, until - now)));
-      if (this.isFenced(revision)) break;
+      if (now >= readsLeaderAt) void this.#readLeader(revision, now);
+      const nextAttemptAt = now < readsLeaderAt ? readsLeaderAt : now + retryIntervalMs;
+      await this.#untilChange(Math.ceil(Math.min(nextAttemptAt, until) - now));
     }
     const isFenced = this.isFenced(revision);
     const waitedMs = Math.round(clock.monotonicMs() - startedAt);
@@ -122,6 +116,13 @@
     return isFenced;
   }
 
+  /** Monotonic time (ms) until which a request waits for a revision to be fenced. */
+  #waitLimit(revision: number, deadline: number, now: number): number {
+    const leasesEndAt = (this.#ages.firstKnownAt(revision) ?? now) + this.#waitMs;
+    if (leasesEndAt <= deadline) return leasesEndAt + CLOCK_RESOLUTION_MS;
+    return Math.min(deadline, now + PROMISE_RETRIES * this.context.retryIntervalMs);
+  }
+
   /** This node has promised to send no start on a view that does not cover a revision. */
   onPromised(revision: number): void {
     this.#promised = Math.max(this.#promised, revision);
