Start fence: the ages of revisions are dropped as new ones are recorded

They were dropped only when a cancellation was asked about, so that a controller without cancellations kept an entry for each of its rounds of reads. The test of their bound is stricter: it records without reading.

--- a/src/controller/start-fence.ts
+++ b/src/controller/start-fence.ts
@@ -82,7 +82,8 @@
 
   /** Records that a revision of the store has been committed by now. */
   observe(revision: number): void {
-    this.#ages.observe(revision, this.context.clock.monotonicMs());
+    const now = this.context.clock.monotonicMs();
+    this.#ages.observe(revision, now, now - this.#waitMs);
   }
 
   /** Whether no start leaves any controller any more on a view that does not cover this revision. */
--- a/src/membership/revision-ages.ts
+++ b/src/membership/revision-ages.ts
@@ -5,25 +5,30 @@
   readonly knownAt: number;
 }
 
-/** Tells which revisions are known to have been committed a given time ago. Old entries are dropped on reading. */
+/** Tells which revisions are known to have been committed a given time ago. */
 export class RevisionAges {
   /** In ascending order of both fields. */
   readonly #known: KnownRevision[] = [];
 
-  /** Records that a revision has been committed by now, a monotonic time in milliseconds that never decreases. */
-  observe(revision: number, now: number): void {
+  /**
+   * Records that a revision has been committed by now, a monotonic time in milliseconds that never decreases. Of the
+   * revisions that were known at `keptFrom`, only the highest is kept.
+   */
+  observe(revision: number, now: number, keptFrom: number): void {
     if (revision > (this.#known.at(-1)?.revision ?? 0)) this.#known.push({ revision, knownAt: now });
+    const last = this.#lastKnownAt(keptFrom);
+    if (last > 0) this.#known.splice(0, last);
   }
 
-  /**
-   * The highest revision that was known at `time`; 0: none. Entries before it are dropped, so `time` should not
-   * decrease from call to call: for an earlier one, 0 may be returned instead of an older revision.
-   */
+  /** The highest revision that was known at `time`; 0: none that is still kept. */
   knownAt(time: number): number {
+    return this.#known[this.#lastKnownAt(time)]?.revision ?? 0;
+  }
+
+  /** Index of the latest entry that was known at `time`; -1: none was. */
+  #lastKnownAt(time: number): number {
     const next = this.#known.findIndex(({ knownAt }) => knownAt > time);
-    const last = (next === -1 ? this.#known.length : next) - 1;
-    if (last > 0) this.#known.splice(0, last);
-    return last < 0 ? 0 : (this.#known[0]?.revision ?? 0);
+    return (next === -1 ? this.#known.length : next) - 1;
   }
 
   /** Monotonic time (ms) at which a revision, or a later one, was first known; null: it is not known. */
--- a/test/start-fence.test.ts
+++ b/test/start-fence.test.ts
@@ -454,17 +454,19 @@
   expect(harness.fence.isFenced(50)).toBe(false);
 });
 
-test('the ages of revisions are kept for as long as they are asked for, and no longer', () => {
+test('the ages of revisions are kept for as long as they are needed, and no longer', () => {
   const ages = new RevisionAges();
   for (let i = 1; i <= 1000; i += 1) {
-    ages.observe(10 * i, i);
-    ages.observe(10 * i - 5, i);
+    ages.observe(10 * i, i, i - 500);
+    ages.observe(10 * i - 5, i, i - 500);
   }
   expect(ages.knownAt(500.5)).toBe(5000);
+  expect(ages.knownAt(899)).toBe(8990);
   expect(ages.firstKnownAt(7001)).toBe(701);
   expect(ages.firstKnownAt(10_001)).toBeNull();
-  // Earlier entries are gone: an earlier time gives no revision that was not known then.
-  expect(ages.knownAt(100)).toBe(0);
+  // Of the earlier entries only the latest is kept.
+  expect(ages.knownAt(499)).toBe(0);
+  expect(ages.firstKnownAt(1)).toBe(500);
 });
 
 test('a leader sends no start on a view that does not cover its promise', () => {
