A follower's term stands in for its promise only once its leader has promised

Found on reading the change again. A leader's promise names the followers that may still pass on its starts. A leader that is deposed before it has promised, and acknowledges the later term, counted as fenced by that term, and a silent follower of its own term with it, although what the follower had been given was not known. The follower now counts only once its leader has promised the revision; one that has acknowledged a later term drops the earlier leader's answers. The new test fails without the condition.

Confirmations go through one function instead of three copies, a planned submission states its cancellation once, and the silent follower of the tests is set up in one place.

--- a/src/adapters/user-requests.ts
+++ b/src/adapters/user-requests.ts
@@ -34,13 +34,12 @@
   untilFenced(revision: number, deadline: number): Promise<boolean>;
 }
 
-/** The transaction that stores a new job, and the job's stage after it. */
+/** The transaction that stores a new job, as a live one or as cancelled with a dependency. */
 interface PlannedSubmission {
   readonly preconditions: readonly Precondition[];
   readonly mutation: Mutation;
-  readonly stage: 'pending' | 'withdrawn';
-  /** Revision at which the latest of its cancelled dependencies was cancelled; 0: none is cancelled. */
-  readonly cancelledAtRevision: number;
+  /** Revision at which the latest of its cancelled dependencies was cancelled; null: none is, and the job is live. */
+  readonly cancelledAtRevision: number | null;
 }
 
 /** The settings and the state of the node that user requests depend on. */
@@ -117,12 +116,15 @@
     return this.context.clock.monotonicMs() + CONFIRMATION_SHARE * userTimeoutMs;
   }
 
-  /** Tells how a job has ended; that it was cancelled only once none of its tasks can be started any more. */
+  /** Gives a response that tells of a cancellation once no task that was cancelled by then can be started any more. */
+  async #whenFenced(revision: number, deadline: number, response: UserResponse): Promise<UserResponse> {
+    return (await this.context.fence.untilFenced(revision, deadline)) ? response : RETRY_LATER;
+  }
+
   async #renderEnded(id: string, ended: EndedJob, deadline: number): Promise<UserResponse> {
     const { stage, done } = ended.record;
-    if (stage === 'withdrawn' && !(await this.context.fence.untilFenced(ended.modRevision, deadline)))
-      return RETRY_LATER;
-    return { status: 200, body: encodeJobView({ id, stage, done, running: 0 }) };
+    const response = { status: 200, body: encodeJobView({ id, stage, done, running: 0 }) };
+    return stage === 'withdrawn' ? this.#whenFenced(ended.modRevision, deadline, response) : response;
   }
 
   async #renderJob(id: string, found: JobLookup, deadline: number): Promise<UserResponse> {
@@ -178,11 +180,11 @@
         mutations: [planned.mutation],
       });
       if (outcome.kind === 'applied') {
-        const { stage, cancelledAtRevision } = planned;
-        const isConfirmed =
-          stage === 'pending' ||
-          (await this.context.fence.untilFenced(cancelledAtRevision, confirmationDeadline));
-        return isConfirmed ? { status: 201, body: encodeJobView({ id, stage }) } : RETRY_LATER;
+        const { cancelledAtRevision } = planned;
+        if (cancelledAtRevision === null)
+          return { status: 201, body: encodeJobView({ id, stage: 'pending' }) };
+        const response = { status: 201, body: encodeJobView({ id, stage: 'withdrawn' }) };
+        return this.#whenFenced(cancelledAtRevision, confirmationDeadline, response);
       }
       // Only dependencies have changed since they were read: the submission is planned again.
       if (outcome.kind === 'failed' && !outcome.keys.some((key) => ownKeys.includes(key))) continue;
@@ -211,8 +213,7 @@
     const live: PlannedSubmission = {
       preconditions: [],
       mutation: { put: jobKey(id), value: spec },
-      stage: 'pending',
-      cancelledAtRevision: 0,
+      cancelledAtRevision: null,
     };
     if (awaits.length === 0) return live;
     // A controller of an earlier version would start the job without waiting for its dependencies.
@@ -240,7 +241,6 @@
     return {
       preconditions: [],
       mutation: { put: endedKey(id), value: record },
-      stage: 'withdrawn',
       cancelledAtRevision: Math.max(...cancelledRevisions),
     };
   }
@@ -323,8 +323,8 @@
       if (outcome.kind === 'applied') {
         const ended: EndedJob = { kind: 'ended', record, modRevision: outcome.revision };
         this.#reader.rememberEnded(id, ended);
-        const isConfirmed = await this.context.fence.untilFenced(ended.modRevision, confirmationDeadline);
-        return isConfirmed ? { status: 200, body: encodeJobView({ id, stage: 'withdrawn' }) } : RETRY_LATER;
+        const response = { status: 200, body: encodeJobView({ id, stage: 'withdrawn' }) };
+        return this.#whenFenced(ended.modRevision, confirmationDeadline, response);
       }
       if (outcome.kind !== 'failed' && outcome.kind !== 'unknown') return RETRY_LATER;
       // The commit may have been executed and its response lost.
--- a/src/controller/start-fence.ts
+++ b/src/controller/start-fence.ts
@@ -9,16 +9,13 @@
  */
 import type { Clock } from '../adapters/clock.js';
 import { RevisionAges } from '../membership/revision-ages.js';
+import type { MemberStatus } from '../membership/status.js';
 import type { Log } from '../observability/logging.js';
 import type { StartFenceMessage } from '../wire/start-fence.js';
 import type { ElectedLeader } from './election-driver.js';
 
-/** What a status of a peer says of its leadership. */
-export interface AcknowledgedTerm {
-  /** The term that it leads, or else the highest that it knows. */
-  readonly term: number;
-  readonly isLeader: boolean;
-}
+/** What a status of a peer says of its leadership: the term that it leads, or else the highest that it knows. */
+export type AcknowledgedTerm = Pick<MemberStatus, 'term' | 'isLeader'>;
 
 /** What the fence needs from its controller. */
 export interface StartFenceContext {
@@ -50,8 +47,8 @@
 
 /** Monotonic clocks of two machines drift apart by at most this share. */
 const MAX_CLOCK_DRIFT = 0.0005;
-/** Timers and clocks are read in whole milliseconds. */
-const CLOCK_RESOLUTION_MS = 1;
+/** Margin for the rounding of times. */
+const ROUNDING_MARGIN_MS = 1;
 /** Share of the retry interval for which promises are awaited before the latest leader is read from the store. */
 const LEADER_READ_DELAY_SHARE = 0.25;
 /** How many retry intervals promises are awaited if the leases of starts do not end within a request's time limit. */
@@ -120,7 +117,7 @@
   /** Monotonic time (ms) until which a request waits for a revision to be fenced. */
   #waitLimit(revision: number, deadline: number, now: number): number {
     const leasesEndAt = (this.#ages.firstKnownAt(revision) ?? now) + this.#waitMs;
-    if (leasesEndAt <= deadline) return leasesEndAt + CLOCK_RESOLUTION_MS;
+    if (leasesEndAt <= deadline) return leasesEndAt + ROUNDING_MARGIN_MS;
     return Math.min(deadline, now + PROMISE_RETRIES * this.context.retryIntervalMs);
   }
 
@@ -138,7 +135,7 @@
   /** Processes a peer's message. */
   receive({ node, requested, promised, fenced, forwarders }: StartFenceMessage): void {
     if (!this.context.peers.includes(node)) return;
-    if (promised >= (this.#promisedByPeer.get(node) ?? 0)) {
+    if (promised >= this.#promisedBy(node)) {
       this.#promisedByPeer.set(node, promised);
       this.#forwardersByPeer.set(node, forwarders);
     }
@@ -158,22 +155,25 @@
 
   /** Time after a revision is known until no start that was decided without it can be sent, in milliseconds. */
   get #waitMs(): number {
-    return this.context.maxStartLeaseMs() * (1 + MAX_CLOCK_DRIFT) + CLOCK_RESOLUTION_MS;
+    return this.context.maxStartLeaseMs() * (1 + MAX_CLOCK_DRIFT) + ROUNDING_MARGIN_MS;
   }
 
   #promisedByAll(): number {
     let lowest = this.#promised;
-    for (const peer of this.context.peers) {
-      const promised = this.#promisedByPeer.get(peer) ?? 0;
-      lowest = Math.min(lowest, Math.max(promised, this.#fencedByTerm(peer)));
-    }
+    for (const peer of this.context.peers) lowest = Math.min(lowest, this.#respectedBy(peer));
     return lowest;
   }
 
+  /** The revision up to which a peer respects cancellations, by its promise or by its term; 0: not known. */
+  #respectedBy(peer: string): number {
+    return Math.max(this.#promisedBy(peer), this.#fencedByTerm(peer));
+  }
+
   /**
    * The revision as of which a peer is known to hold no leadership: the latest leader as of it was another node, and
    * the peer has acknowledged that leader's term. It can lead again only in a later term, and then loads the jobs anew.
-   * A peer that may still pass on starts of a leader is not fenced.
+   * It may pass on starts of that leader, so the leader must have promised the revision, and not name the peer as one
+   * that it has given starts before. Starts of earlier leaders are not passed on in a later term.
    */
   #fencedByTerm(peer: string): number {
     const acknowledged = this.context.acknowledgedTerm(peer);
@@ -181,7 +181,12 @@
     const { term, node, revision } = this.#leader;
     const isSuperseded = acknowledged.term > term;
     const follows = acknowledged.term === term && !acknowledged.isLeader && node !== peer;
-    return isSuperseded || follows ? revision : 0;
+    return isSuperseded || (follows && this.#promisedBy(node) >= revision) ? revision : 0;
+  }
+
+  /** The revision that a controller, this one included, has promised; 0: none. */
+  #promisedBy(node: string): number {
+    return node === this.context.node ? this.#promised : (this.#promisedByPeer.get(node) ?? 0);
   }
 
   #isForwarder(peer: string): boolean {
@@ -196,7 +201,7 @@
     this.#requestedAt = now;
     if (this.#promised < this.#requested) this.context.promise(this.#requested);
     for (const peer of this.context.peers)
-      if ((this.#promisedByPeer.get(peer) ?? 0) < this.#requested) this.#send(peer, this.#requested);
+      if (this.#promisedBy(peer) < this.#requested) this.#send(peer, this.#requested);
   }
 
   #send(peer: string, requested: number): void {
@@ -242,9 +247,7 @@
     const now = this.context.clock.monotonicMs();
     if (now - this.#delayLoggedAt < MIN_LOG_INTERVAL_MS) return;
     this.#delayLoggedAt = now;
-    const withoutPromise = this.context.peers.filter(
-      (peer) => Math.max(this.#promisedByPeer.get(peer) ?? 0, this.#fencedByTerm(peer)) < revision,
-    );
+    const withoutPromise = this.context.peers.filter((peer) => this.#respectedBy(peer) < revision);
     this.context.log.info(
       { revision, waitedMs, isFenced, withoutPromise },
       'cancellation confirmation delayed',
--- a/test/start-fence.test.ts
+++ b/test/start-fence.test.ts
@@ -304,6 +304,13 @@
     this.fence.receive({ node, requested: 0, promised: 0, fenced: 0, forwarders: [], ...message });
   }
 
+  /** Peer b leads term 3 and has promised revision 10; c follows it and is silent. */
+  letSilentPeerFollow(): void {
+    this.receive('b', { promised: 10 });
+    this.leader = { term: 3, node: 'b' };
+    this.acknowledged.set('c', { term: 3, isLeader: false });
+  }
+
   /** Waits for a revision; returns how long it took in milliseconds, or null if it was not fenced in time. */
   async wait(revision: number, timeoutMs = 4000): Promise<number | null> {
     const startedAt = this.virtualClock.now;
@@ -371,9 +378,7 @@
 
   test('for a silent peer that follows the latest leader, and for one that has acknowledged a later term', async () => {
     const harness = new FenceHarness();
-    harness.receive('b', { promised: 10 });
-    harness.leader = { term: 3, node: 'b' };
-    harness.acknowledged.set('c', { term: 3, isLeader: false });
+    harness.letSilentPeerFollow();
     expect(await harness.wait(10)).toBeLessThan(RETRY_MS);
     harness.receive('b', { promised: 20 });
     harness.acknowledged.set('c', { term: 4, isLeader: true });
@@ -409,11 +414,18 @@
     expect(await harness.wait(30)).toBeGreaterThanOrEqual(LEASE_MS);
   });
 
-  test('not by a term that was read before the revision was committed', async () => {
+  // What the leader has given a follower to pass on is known from its promise alone.
+  test('not sooner than its leases for a silent peer whose leader has not promised', async () => {
     const harness = new FenceHarness();
-    harness.receive('b', { promised: 10 });
     harness.leader = { term: 3, node: 'b' };
+    harness.acknowledged.set('b', { term: 4, isLeader: false });
     harness.acknowledged.set('c', { term: 3, isLeader: false });
+    expect(await harness.wait(10)).toBeGreaterThanOrEqual(LEASE_MS);
+  });
+
+  test('not by a term that was read before the revision was committed', async () => {
+    const harness = new FenceHarness();
+    harness.letSilentPeerFollow();
     expect(await harness.wait(10)).toBeLessThan(RETRY_MS);
     harness.receive('b', { promised: 20 });
     // Since then c was elected.
