--- a/src/adapters/public-server.ts
+++ b/src/adapters/public-server.ts
@@ -1,6 +1,7 @@
 /** HTTP server on the node's public port. Heartbeats and polls of single jobs bypass the router; all else is routed. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import express, { type ErrorRequestHandler, type Express, type RequestHandler } from 'express';
+import { MAX_MESSAGE_BYTES } from '../core/message-sizes.js';
 import { parseJson } from '../core/values.js';
 import type { LatencyHistograms } from '../observability/latency.js';
 import type { EventCounter, Log } from '../observability/logging.js';
@@ -17,8 +18,11 @@
 
 /** Time after which an idle connection is closed, in milliseconds. */
 const KEEP_ALIVE_MS = 120_000;
-/** The largest body of a request, in bytes. */
-const MAX_BODY_BYTES = 64 * 1024;
+/**
+ * The largest body of a heartbeat, in bytes. Workers should send no more than `MAX_MESSAGE_BYTES`, but the heartbeat of a
+ * machine that a controller of an earlier version has given too many tasks may be longer, and refusing it loses them all.
+ */
+const MAX_HEARTBEAT_BYTES = 1.5 * MAX_MESSAGE_BYTES;
 
 /** The operations that the port exposes; a controller node implements them. */
 export interface PublicApi {
@@ -49,10 +53,10 @@
   let bytes = 0;
   request.on('data', (chunk: Buffer) => {
     bytes += chunk.length;
-    if (bytes <= MAX_BODY_BYTES) chunks.push(chunk);
+    if (bytes <= MAX_HEARTBEAT_BYTES) chunks.push(chunk);
   });
   request.on('end', () => {
-    const body = bytes <= MAX_BODY_BYTES ? parseJson(Buffer.concat(chunks).toString('utf8')) : undefined;
+    const body = bytes <= MAX_HEARTBEAT_BYTES ? parseJson(Buffer.concat(chunks).toString('utf8')) : undefined;
     api.handleHeartbeat(body, (status, text) => sendJson(response, status, text));
   });
   request.on('error', () => response.destroy());
@@ -122,7 +126,7 @@
   const app = express();
   app.disable('x-powered-by');
   app.disable('etag');
-  const body = express.json({ limit: MAX_BODY_BYTES, strict: false, type: () => true });
+  const body = express.json({ limit: MAX_MESSAGE_BYTES, strict: false, type: () => true });
   app
     .route('/ready')
     .get((_request, response) => sendJson(response, api.ready() ? 200 : 503, '{}'))
--- a/src/adapters/user-requests.ts
+++ b/src/adapters/user-requests.ts
@@ -1,5 +1,5 @@
 /** User requests: submit, show and cancel, served by every node from the key-value store. */
-import { satisfiesConstraints, fits, WAIT_REASONS } from '../core/placement/index.js';
+import { satisfiesConstraints, fitsType, WAIT_REASONS } from '../core/placement/index.js';
 import type { TeamQuota } from '../core/model.js';
 import type { Precondition, EndedRecord, JobSpec, MachineType, Mutation } from '../core/types.js';
 import { endedKey, jobBytes, jobKey } from '../core/persistence/index.js';
@@ -96,7 +96,7 @@
           satisfiesConstraints(spec, type.name, zone, false) ||
           satisfiesConstraints(spec, type.name, zone, true),
       );
-      fitsAnyType ||= hasAllowedZone && fits(spec, type);
+      fitsAnyType ||= hasAllowedZone && fitsType(spec, type);
     }
     if (!fitsAnyType) return 'a task fits no allowed machine type';
     const count = spec.form === 'array' ? 1 : spec.tasks;
--- a/src/adapters/worker-client.ts
+++ b/src/adapters/worker-client.ts
@@ -2,13 +2,15 @@
 import { connect } from 'node:net';
 import type { Heartbeat, WorkerCommand } from '../core/types.js';
 import { parseAddress } from '../config/settings.js';
+import { withoutStarts } from '../core/fleet/index.js';
+import { commandsWithinLimit } from '../core/message-sizes.js';
 import { encodeDirectCommands, parseHeartbeat } from '../wire/workers.js';
 import { HttpClient } from './http-client.js';
 
 /** The operations of the workers that the controller uses. */
 export interface WorkerClient {
   /**
-   * Raises the worker's fencing token and sends it commands. Resolves to the worker's heartbeat, or to `null`
+   * Raises the worker's fencing token and sends it commands, as far as they fit into one message. Resolves to the worker's heartbeat, or to `null`
    * without a valid response.
    */
   sendCommands(
@@ -70,12 +72,12 @@
     commands: readonly WorkerCommand[],
   ): Promise<Heartbeat | null> {
     // A start command is never sent directly: a delayed call could execute it minutes late.
-    const withoutStarts = commands.filter((command) => command.op !== 'start');
+    const sent = commandsWithinLimit(withoutStarts(commands));
     const client = new HttpClient(parseAddress(address), 1, false);
     const response = await client.request(
       'POST',
       '/do',
-      encodeDirectCommands(token, agentEpoch, withoutStarts),
+      encodeDirectCommands(token, agentEpoch, sent),
       this.timeoutMs,
     );
     client.close();
--- a/src/controller/fallback-responder.ts
+++ b/src/controller/fallback-responder.ts
@@ -13,6 +13,7 @@
 import type { KeyValueStore } from '../adapters/key-value-store.js';
 import type { Clock } from '../adapters/clock.js';
 import { MAX_TRACKED_MACHINES } from '../core/limits.js';
+import { commandsWithinLimit } from '../core/message-sizes.js';
 import type { Heartbeat, WorkerCommand } from '../core/types.js';
 import type { Timing } from '../config/settings.js';
 import {
@@ -73,7 +74,7 @@
   }
 
   /** The commands for a worker; null: this node may not answer it. */
-  async answer(heartbeat: Heartbeat): Promise<WorkerCommand[] | null> {
+  async answer(heartbeat: Heartbeat): Promise<readonly WorkerCommand[] | null> {
     this.#lastUsedAt = this.clock.monotonicMs();
     if (!this.#isWatching) {
       this.#isWatching = true;
@@ -91,7 +92,7 @@
     for (const { job, task, attempt, stage } of heartbeat.tasks) {
       if (stage !== 'exited' && !live.has(job)) commands.push({ op: 'stop', job, task, attempt, graceS: 0 });
     }
-    return commands;
+    return commandsWithinLimit(commands);
   }
 
   /** Machines that this node has answered in the leader's place within the last two longest heartbeat intervals. */
--- a/src/core/attention.ts
+++ b/src/core/attention.ts
@@ -20,9 +20,12 @@
   state.newAttentionNames.push(machine.name);
 }
 
-/** Brings the set up to date after an answer. Returns whether the machine's next heartbeat has to reach the leader. */
-export function refreshAttention(state: CoreState, machine: Machine): boolean {
-  const needs = [...machine.claims.values()].some(needsCommand);
+/**
+ * Brings the set up to date after an answer; `hasUnsent`: some commands did not fit into it. Returns whether the machine's
+ * next heartbeat has to reach the leader.
+ */
+export function refreshAttention(state: CoreState, machine: Machine, hasUnsent: boolean): boolean {
+  const needs = hasUnsent || [...machine.claims.values()].some(needsCommand);
   if (needs) state.attention.add(machine);
   else state.attention.delete(machine);
   return needs;
--- a/src/core/autoscaling/capacity-plan.ts
+++ b/src/core/autoscaling/capacity-plan.ts
@@ -2,11 +2,11 @@
  * The capacity plan: existing and expected machines, with their free resources over time, and the instances to
  * request. A new plan is made for each scale-out decision.
  */
-import { expectedEnd } from '../fleet/expected-end.js';
+import { expectedEnd, expectedReleases } from '../fleet/expected-end.js';
 import { isBestEffort } from '../jobs/best-effort.js';
-import type { JobState, Machine, Now } from '../model.js';
+import type { JobState, LiveClaim, Machine, Now } from '../model.js';
 import { constrainedTypesInDemand } from '../placement/constrained-types.js';
-import { freeResources, isExcluded, resourcesOf, satisfiesConstraints } from '../placement/resources.js';
+import { freeResources, isExcluded, satisfiesConstraints } from '../placement/resources.js';
 import type { CoreState } from '../state.js';
 import type { JobSpec, MachineType } from '../types.js';
 import { instanceKindKey, type InstanceKind } from './instance-kinds.js';
@@ -101,11 +101,8 @@
   type: MachineType,
   now: Now,
 ): PlannedMachine {
-  const ends = [...machine.claims.values()].map((claim) => ({
-    at: Math.min(expectedEnd(state, claim, now), preemptibleAt(state, claim.job, now)),
-    resources: resourcesOf(claim.job.spec),
-  }));
-  ends.sort((a, b) => a.at - b.at);
+  const endOf = (claim: LiveClaim): number =>
+    Math.min(expectedEnd(state, claim, now), preemptibleAt(state, claim.job, now));
   return {
     machine: machine.name,
     type,
@@ -113,8 +110,8 @@
     spot: machine.spot,
     readyAt: readyTime(machine, type, now),
     free: freeResources(machine, type),
-    ends,
-    isBusy: ends.length > 0,
+    ends: expectedReleases(state, machine, now, endOf),
+    isBusy: machine.claims.size > 0,
     isUsed: false,
     version: 0,
   };
@@ -183,7 +180,7 @@
 
 /** The planned machines that a job may use. */
 export function findCandidates(plan: CapacityPlan, job: JobState, isFlexible: boolean): Candidates {
-  const { spec } = job;
+  const { spec, request } = job;
   const spot: PlannedMachine[] = [];
   const onDemand: PlannedMachine[] = [];
   for (const planned of plan.machines) {
@@ -191,7 +188,7 @@
     if (planned.machine !== null && isExcluded(job, planned.machine)) continue;
     (planned.spot ? spot : onDemand).push(planned);
   }
-  return { spot: new StartQueue(spot, spec), onDemand: new StartQueue(onDemand, spec) };
+  return { spot: new StartQueue(spot, request), onDemand: new StartQueue(onDemand, request) };
 }
 
 /**
--- a/src/core/autoscaling/headroom-planning.ts
+++ b/src/core/autoscaling/headroom-planning.ts
@@ -8,15 +8,13 @@
 import type { Demand, Now } from '../model.js';
 import { soleType } from '../placement/constrained-types.js';
 import { MAX_ARRIVAL_GAPS } from '../placement/headroom.js';
-import { allocate, fits, resourcesOf } from '../placement/resources.js';
+import { allocate, fits, fitsType, machineCapacity, taskRequest } from '../placement/resources.js';
 import type { CoreState } from '../state.js';
 import type { JobSpec, ResourceRequest, Resources } from '../types.js';
 import { mayUse, requestInstance, type CapacityPlan } from './capacity-plan.js';
 import { availableKinds, cheapestBalancedKind, type InstanceKind } from './instance-kinds.js';
 import type { PlannedMachine } from './planned-machine.js';
 
-/** Maximum number of tasks counted on one machine; bounds the count for tasks with nearly empty requests. */
-const MAX_TASKS_PER_MACHINE = 2000;
 /** Number of boot times without an arrival after which no more arrivals of a class are expected. */
 const MAX_ARRIVAL_GAP_BOOTS = 2;
 
@@ -37,7 +35,7 @@
 function countFitting(request: ResourceRequest, resources: Resources): number {
   const left = { ...resources };
   let count = 0;
-  while (count < MAX_TASKS_PER_MACHINE && fits(request, left)) {
+  while (fits(request, left)) {
     allocate(left, request);
     count += 1;
   }
@@ -48,7 +46,7 @@
 function shortestBootS(state: CoreState, spec: JobSpec): number {
   let shortest = Infinity;
   for (const type of state.machineTypes.values())
-    if (fits(spec, type)) shortest = Math.min(shortest, type.bootS);
+    if (fitsType(spec, type)) shortest = Math.min(shortest, type.bootS);
   return shortest;
 }
 
@@ -61,13 +59,13 @@
 /** How many tasks of a class fit on a machine within their allowed wait, next to longer tasks of other classes. */
 function countTasksOn({ state, now }: CapacityPlan, gap: HeadroomGap, planned: PlannedMachine): number {
   const { spec, allowedWaitMs } = gap;
-  const resources = resourcesOf(planned.type);
+  const resources = machineCapacity(planned.type);
   const machine = planned.machine === null ? undefined : state.machines.get(planned.machine);
   for (const claim of machine?.claims.values() ?? []) {
     const stays = expectedEnd(state, claim, now) > now.monotonicMs + allowedWaitMs;
-    if (stays && claim.job.spec.jobClass !== spec.jobClass) allocate(resources, claim.job.spec);
+    if (stays && claim.job.spec.jobClass !== spec.jobClass) allocate(resources, claim.job.request);
   }
-  return countFitting(spec, resources);
+  return countFitting(taskRequest(spec), resources);
 }
 
 /**
@@ -89,7 +87,7 @@
 function coverWithInstances(plan: CapacityPlan, gap: HeadroomGap, kinds: readonly InstanceKind[]): void {
   while (gap.missing > 0) {
     const kind = cheapestBalancedKind(plan.counts, kinds);
-    const found = kind === undefined ? 0 : countFitting(gap.spec, resourcesOf(kind.type));
+    const found = kind === undefined ? 0 : countFitting(taskRequest(gap.spec), machineCapacity(kind.type));
     if (kind === undefined || found === 0) return;
     requestInstance(plan, kind);
     gap.missing -= found;
--- a/src/core/autoscaling/instance-kinds.ts
+++ b/src/core/autoscaling/instance-kinds.ts
@@ -1,5 +1,5 @@
 /** Kinds of instance that the cloud offers, and which of them is the cheapest for a job's tasks. */
-import { fits, satisfiesConstraints } from '../placement/resources.js';
+import { fitsType, satisfiesConstraints, tasksPerMachine } from '../placement/resources.js';
 import type { Now } from '../model.js';
 import type { CoreState } from '../state.js';
 import type { JobSpec, MachineType } from '../types.js';
@@ -10,8 +10,6 @@
 const CONSTRAINED_TYPE_PRICE_FACTOR = 4;
 /** Prices within this ratio of each other count as equal. */
 const SAME_PRICE_RATIO = 1.001;
-/** Lower limit of a request in divisions, so that a request of zero gives a finite result. */
-const MIN_REQUEST = 1e-6;
 
 /** What one provisioning request is for: a machine type in a zone, spot or on-demand. */
 export interface InstanceKind {
@@ -26,15 +24,6 @@
 export const instanceKindKey = (type: string, zone: string, spot: boolean): string =>
   `${type}/${zone}/${spot ? 'spot' : 'on-demand'}`;
 
-/** How many tasks of a job fit on a machine of a type, by CPUs and memory; at least one. */
-function tasksPerMachine(spec: JobSpec, type: MachineType): number {
-  const count = Math.min(
-    type.cpus / Math.max(MIN_REQUEST, spec.cpus),
-    type.memoryGb / Math.max(MIN_REQUEST, spec.memoryGb),
-  );
-  return Math.max(1, Math.floor(count));
-}
-
 /** Whether the cloud has recently failed to provide instances of a kind. */
 function isBlocked(state: CoreState, type: string, zone: string, spot: boolean, now: Now): boolean {
   const blockedUntil = state.provisioningBlockedUntil.get(instanceKindKey(type, zone, spot)) ?? 0;
@@ -54,9 +43,10 @@
 ): InstanceKind[] {
   const kinds: InstanceKind[] = [];
   for (const type of state.machineTypes.values()) {
-    if (!fits(spec, type)) continue;
+    if (!fitsType(spec, type)) continue;
     const isLeftToOthers = isFlexible && constrainedTypes.has(type.name);
-    const factor = (isLeftToOthers ? CONSTRAINED_TYPE_PRICE_FACTOR : 1) / tasksPerMachine(spec, type);
+    const factor =
+      (isLeftToOthers ? CONSTRAINED_TYPE_PRICE_FACTOR : 1) / Math.max(1, tasksPerMachine(spec, type));
     for (const zone of type.zones) {
       for (const spot of [true, false]) {
         if (!satisfiesConstraints(spec, type.name, zone, spot)) continue;
--- a/src/core/autoscaling/planned-machine.ts
+++ b/src/core/autoscaling/planned-machine.ts
@@ -2,7 +2,8 @@
  * A machine in the capacity plan, with its free resources over time. The plan only estimates where tasks could
  * start; placement decides where they do.
  */
-import { allocate, fits, release, resourcesOf } from '../placement/resources.js';
+import type { ExpectedRelease } from '../fleet/expected-end.js';
+import { allocate, fits, machineCapacity, release, resourcesOf } from '../placement/resources.js';
 import type { Now } from '../model.js';
 import type { MachineType, ResourceRequest, Resources } from '../types.js';
 
@@ -18,7 +19,7 @@
   /** Resources that are free before the first of `ends`. */
   readonly free: Resources;
   /** When resources become free, in ascending order of the monotonic time in milliseconds. */
-  readonly ends: { at: number; resources: Resources }[];
+  readonly ends: ExpectedRelease[];
   /** The machine holds claims now. */
   readonly isBusy: boolean;
   /** The plan uses the machine for tasks or headroom. */
@@ -35,7 +36,7 @@
     zone,
     spot,
     readyAt: now.monotonicMs + type.bootS * 1000,
-    free: resourcesOf(type),
+    free: machineCapacity(type),
     ends: [],
     isBusy: false,
     isUsed: false,
@@ -48,7 +49,7 @@
  * it never could.
  */
 export function earliestStart(planned: PlannedMachine, request: ResourceRequest): number {
-  if (!fits(request, planned.type)) return Infinity;
+  if (!fits(request, machineCapacity(planned.type))) return Infinity;
   if (fits(request, planned.free)) return planned.readyAt;
   const free = { ...planned.free };
   for (const { at, resources } of planned.ends) {
--- a/src/core/autoscaling/task-planning.ts
+++ b/src/core/autoscaling/task-planning.ts
@@ -32,10 +32,10 @@
 }
 
 /** Key shared by jobs with the same candidates; null: the job has failed on some machines, and shares none. */
-function shapeKey({ spec, failedMachines }: JobState): string | null {
+function shapeKey({ spec, request, failedMachines }: JobState): string | null {
   if (failedMachines.size > 0) return null;
-  const { cpus, gpus, memoryGb, types, zone, spot } = spec;
-  return JSON.stringify([cpus, gpus, memoryGb, types, zone, spot]);
+  const { types, zone, spot } = spec;
+  return JSON.stringify([request, types, zone, spot]);
 }
 
 /** The queue to start a task from: on-demand only if a spot machine would be too late and on-demand is earlier. */
--- a/src/core/fleet/heartbeats.ts
+++ b/src/core/fleet/heartbeats.ts
@@ -6,6 +6,7 @@
 import type { Effect } from '../effects.js';
 import { log } from '../log.js';
 import { isDone, taskKey, type LiveClaim, type Machine, type Now } from '../model.js';
+import { reportedTaskBytes } from '../message-sizes.js';
 import { releaseClaim } from '../persistence/claims.js';
 import type { CoreState } from '../state.js';
 import type { Heartbeat } from '../types.js';
@@ -93,6 +94,15 @@
   log(effects, 'machine reclaim announced', { machine: machine.name, inS: noticeS });
 }
 
+/** Bytes that the reported tasks without a claim take in the machine's heartbeat. */
+function unclaimedHeartbeatBytes({ reportedTasks, claims }: Machine): number {
+  let bytes = 0;
+  for (const reported of reportedTasks)
+    if (claims.get(taskKey(reported.job, reported.task))?.attempt !== reported.attempt)
+      bytes += reportedTaskBytes(reported);
+  return bytes;
+}
+
 function applyTaskReports(state: CoreState, machine: Machine, heartbeat: Heartbeat, now: Now): void {
   for (const task of heartbeat.tasks) {
     if (task.stage === 'exited') {
@@ -144,6 +154,7 @@
   applyTaskReports(state, machine, heartbeat, now);
   releaseAbsentClaims(state, machine, heartbeat, isAuthoritative);
   machine.reportedTasks = heartbeat.tasks;
+  machine.unclaimedHeartbeatBytes = unclaimedHeartbeatBytes(machine);
   state.changedMachines.add(machine);
   if (machine.claims.size > 0) machine.idleSince = now.monotonicMs;
   return true;
--- a/src/core/fleet/machines.ts
+++ b/src/core/fleet/machines.ts
@@ -31,6 +31,7 @@
     cloudStage: null,
     claims: new Map(),
     allocated: noResources(),
+    unclaimedHeartbeatBytes: 0,
     discoveryOrder,
     exits: new Map(),
     reportedTasks: [],
--- a/src/core/fleet/worker-commands.ts
+++ b/src/core/fleet/worker-commands.ts
@@ -2,6 +2,7 @@
 import { refreshAttention } from '../attention.js';
 import type { Effect } from '../effects.js';
 import { isDone, isExitDurable, taskKey, type Leadership, type Machine } from '../model.js';
+import { commandsWithinLimit } from '../message-sizes.js';
 import { isClaimDurable, releaseClaim } from '../persistence/claims.js';
 import { maySendStarts, type CoreState } from '../state.js';
 import type { ReportedTask, WorkerCommand } from '../types.js';
@@ -51,13 +52,12 @@
       // No leader has sent this start or will send it, so the task cannot be on the machine.
       if (!claim.startSent) releaseClaim(state, claim, false);
     } else if (!listed.has(key) && isClaimDurable(state, claim)) {
-      claim.startSent = true;
       commands.push({ op: 'start', job: job.spec.id, task, attempt });
     }
   }
 }
 
-/** The commands that answer a machine's latest heartbeat. */
+/** The commands that the tasks of a machine's latest heartbeat and its claims require. */
 function commandsFor(state: CoreState, machine: Machine): WorkerCommand[] {
   const commands: WorkerCommand[] = [];
   const listed = new Set<string>();
@@ -71,19 +71,32 @@
   return commands;
 }
 
+/** Records that these commands are sent, before they leave the core. */
+function recordSentStarts(machine: Machine, commands: readonly WorkerCommand[]): void {
+  for (const { op, job, task } of commands) {
+    const claim = op === 'start' ? machine.claims.get(taskKey(job, task)) : undefined;
+    if (claim !== undefined) claim.startSent = true;
+  }
+}
+
 /** The lease of starts that are decided on the leader's present view. */
 const startLease = (state: CoreState, { viewConfirmedAt, viewRevision }: Leadership): StartLease => ({
   validUntil: viewConfirmedAt + state.config.timing.leaderLeaseMs,
   viewRevision,
 });
 
-/** Answers a machine's pending heartbeat with its commands; sends nothing if there is none, or no leadership. */
+/**
+ * Answers a machine's pending heartbeat with its commands, as far as they fit into one message; the others are sent with
+ * the answers to later heartbeats. Sends nothing if no heartbeat is pending, or without leadership.
+ */
 export function answerHeartbeat(state: CoreState, machine: Machine, effects: Effect[]): void {
   const leadership = state.leadership;
   const pending = takePendingHeartbeat(state, machine);
   if (pending === null || leadership === null) return;
-  const commands = commandsFor(state, machine);
-  refreshAttention(state, machine);
+  const required = commandsFor(state, machine);
+  const commands = commandsWithinLimit(required);
+  recordSentStarts(machine, commands);
+  refreshAttention(state, machine, commands.length < required.length);
   const starts = commands.filter(({ op }) => op === 'start');
   recordResponse(
     state,
--- a/src/core/jobs/best-effort.ts
+++ b/src/core/jobs/best-effort.ts
@@ -1,5 +1,5 @@
 /** Best-effort work, which runs on idle capacity, and whether it may use on-demand machines. */
-import { fits, satisfiesConstraints } from '../placement/resources.js';
+import { fitsType, satisfiesConstraints, tasksPerMachine } from '../placement/resources.js';
 import type { JobState, Now } from '../model.js';
 import type { CoreState } from '../state.js';
 import type { JobSpec } from '../types.js';
@@ -22,8 +22,8 @@
 export function spotSlots(state: CoreState, spec: JobSpec): number {
   let slots = 0;
   for (const { type, zone, spot, size } of state.capacityIndex.groups) {
-    if (!spot || !satisfiesConstraints(spec, type.name, zone, spot) || !fits(spec, type)) continue;
-    slots += size * Math.floor(Math.min(type.cpus / spec.cpus, type.memoryGb / spec.memoryGb, Infinity));
+    if (!spot || !satisfiesConstraints(spec, type.name, zone, spot) || !fitsType(spec, type)) continue;
+    slots += size * tasksPerMachine(spec, type);
   }
   return slots;
 }
--- a/src/core/jobs/jobs.ts
+++ b/src/core/jobs/jobs.ts
@@ -81,7 +81,7 @@
   const { spec } = job;
   job.claims.set(task, claim);
   machine.claims.set(taskKey(spec.id, task), claim);
-  release(machine.allocated, spec);
+  release(machine.allocated, job.request);
   state.claimsByPriority.get(spec.priority)?.add(claim);
   state.changedMachines.add(machine);
   markForAttention(state, machine.name);
@@ -100,7 +100,8 @@
   state.preemptedClaims.delete(claim);
   if (claim.stage === 'running') job.runningCount -= 1;
   if (machine?.claims.delete(taskKey(spec.id, task)) === true) {
-    allocate(machine.allocated, spec);
+    allocate(machine.allocated, job.request);
+    machine.unclaimedHeartbeatBytes += job.request.heartbeatBytes;
     // Sums of fractions accumulate rounding errors, so an empty machine is reset to exactly zero.
     if (machine.claims.size === 0) Object.assign(machine.allocated, noResources());
     state.changedMachines.add(machine);
--- a/src/core/jobs/objectives.ts
+++ b/src/core/jobs/objectives.ts
@@ -3,7 +3,7 @@
  * so that each is met. A job may have any number of objectives, and each counts separately: a lost
  * objective no longer makes the job urgent, but the next one does when its time approaches.
  */
-import { fits } from '../placement/resources.js';
+import { fitsType } from '../placement/resources.js';
 import type { ClassObjectives, JobState, Now } from '../model.js';
 import type { CoreState } from '../state.js';
 import type { JobSpec } from '../types.js';
@@ -109,7 +109,7 @@
   const targetMs = strictestStartTarget(state, spec);
   if (targetMs === undefined) return false;
   for (const type of state.machineTypes.values())
-    if (fits(spec, type) && targetMs > type.bootS * 1000) return false;
+    if (fitsType(spec, type) && targetMs > type.bootS * 1000) return false;
   return true;
 }
 
--- a/src/core/model/job.ts
+++ b/src/core/model/job.ts
@@ -1,5 +1,5 @@
 /** Jobs, the claims of their tasks, and the chunks in which these are stored. */
-import type { FinalStage, JobSpec, Priority, TaskStage } from '../types.js';
+import type { FinalStage, JobSpec, Priority, ResourceRequest, TaskStage } from '../types.js';
 
 /** Reasons for a job's next write, in the order in which jobs are written when not all fit into a transaction. */
 export const WRITE_REASONS = ['start', 'end', 'exit', 'clean'] as const;
@@ -66,6 +66,8 @@
 /** A leader's state of a job. */
 export interface JobState {
   readonly spec: JobSpec;
+  /** What each of its tasks takes of its machine. */
+  readonly request: ResourceRequest;
   /** Revision of the job's record; these revisions give the order in which jobs were accepted. */
   readonly modRevision: number;
   /** How the job ended; null: it is live. */
--- a/src/core/model/machine.ts
+++ b/src/core/model/machine.ts
@@ -115,6 +115,11 @@
   readonly claims: Map<string, LiveClaim>;
   /** Resources that its claims take. */
   readonly allocated: Resources;
+  /**
+   * Bytes that tasks without a claim take in its heartbeat, such as exited ones; set by `fleet/heartbeats`. A claim that
+   * is removed counts until the next heartbeat.
+   */
+  unclaimedHeartbeatBytes: number;
 
   // Use: written by `fleet/image-cache` and `fleet/heartbeats`.
   /** Gigabytes of the images that it is assumed to cache, by image, most recently used last. */
--- a/src/core/persistence/job-lifecycle.ts
+++ b/src/core/persistence/job-lifecycle.ts
@@ -3,6 +3,7 @@
 import { registerDependencies, unregisterDependencies } from '../jobs/dependencies.js';
 import { updateTaskCounts } from '../jobs/jobs.js';
 import type { FinalOutcome, JobState } from '../model.js';
+import { taskRequest } from '../placement/resources.js';
 import type { CoreState } from '../state.js';
 import type { FinalStage, JobSpec, Versioned } from '../types.js';
 import { markDirty } from './dirty-jobs.js';
@@ -11,6 +12,7 @@
 function createJobState(job: Versioned<JobSpec>, finalStage: FinalStage | null): JobState {
   return {
     spec: job.value,
+    request: taskRequest(job.value),
     modRevision: job.modRevision,
     finalStage,
     pendingDependencies: new Set(),
--- a/src/core/placement/candidates.ts
+++ b/src/core/placement/candidates.ts
@@ -58,13 +58,13 @@
     if (isTruncated) this.#addImageHolders();
     else if (!hasRoom) {
       const { job, mayUseHeadroom } = this.preferences;
-      this.pass.unplaceable.push({ request: job.spec, includesHeadroom: mayUseHeadroom });
+      this.pass.unplaceable.push({ request: job.request, includesHeadroom: mayUseHeadroom });
     }
   }
 
   /** Adds the tightest fits. Returns whether any machine may have room, and whether some may be left out. */
   #addTightest(): { hasRoom: boolean; isTruncated: boolean } {
-    const { spec } = this.preferences.job;
+    const { spec, request } = this.preferences.job;
     let hasRoom = false;
     let remaining = MAX_CANDIDATES;
     for (const group of this.pass.state.capacityIndex.groups) {
@@ -73,7 +73,7 @@
         hasRoom = true;
         continue;
       }
-      for (const node of tightestFirst(group, spec, this.preferences.mayUseHeadroom)) {
+      for (const node of tightestFirst(group, request, this.preferences.mayUseHeadroom)) {
         hasRoom = true;
         if (this.#add(node)) remaining -= 1;
         if (remaining === 0) return { hasRoom, isTruncated: true };
--- a/src/core/placement/capacity-index.ts
+++ b/src/core/placement/capacity-index.ts
@@ -11,7 +11,7 @@
   type NodeCapacity,
   type NodeGroup,
 } from './node-capacity.js';
-import { allocate, fits, noResources, release } from './resources.js';
+import { allocate, fits, freeResources, noResources, release, taskRequest } from './resources.js';
 import { ShadowTimeCache, type NodeShadow } from './shadow-time-cache.js';
 
 export type { NodeCapacity, NodeGroup } from './node-capacity.js';
@@ -73,7 +73,7 @@
 
   /** Shadow times of a resource request on each node, as of the latest `clearShadowTimes`. */
   shadowTimes(request: ResourceRequest, compute: (node: NodeCapacity) => NodeShadow): ShadowTimeCache {
-    const key = `${request.cpus}/${request.gpus}/${request.memoryGb}`;
+    const key = `${request.cpus}/${request.gpus}/${request.memoryGb}/${request.heartbeatBytes}`;
     let cache = this.#shadowTimes.get(key);
     if (cache === undefined) {
       cache = new ShadowTimeCache(this, compute);
@@ -141,14 +141,12 @@
   /** Recomputes the unreserved resources of a node, and moves it to the matching buckets. */
   reindex(node: NodeCapacity): void {
     const { machine, type, unreserved, headroom, group } = node;
-    unreserved.cpus = type.cpus - machine.allocated.cpus;
-    unreserved.gpus = type.gpus - machine.allocated.gpus;
-    unreserved.memoryGb = type.memoryGb - machine.allocated.memoryGb;
+    Object.assign(unreserved, freeResources(machine, type));
     // Claims take precedence: headroom that no longer fits beside them is released as a whole.
     if (!fits(headroom, unreserved)) Object.assign(headroom, noResources());
-    const freeBucket = bucketOf(type, unreserved.cpus);
+    const freeBucket = bucketOf(type, unreserved);
     allocate(unreserved, headroom);
-    const unreservedBucket = bucketOf(type, unreserved.cpus);
+    const unreservedBucket = bucketOf(type, unreserved);
     removeFromBuckets(node);
     node.buckets = { unreserved: unreservedBucket, free: freeBucket };
     group.byUnreservedCpus[unreservedBucket]?.add(node);
@@ -164,7 +162,7 @@
 
   /** Holds headroom on a node for one more task of a job's class. */
   reserveHeadroom(node: NodeCapacity, spec: JobSpec): void {
-    release(node.headroom, spec);
+    release(node.headroom, taskRequest(spec));
     this.#headroomTasks.set(spec.jobClass, this.headroomTasks(spec) + 1);
     this.reindex(node);
   }
@@ -183,8 +181,7 @@
   releaseAllHeadroom(): void {
     this.#headroomTasks.clear();
     for (const node of this.#nodes.values()) {
-      const { cpus, gpus, memoryGb } = node.headroom;
-      if (cpus === 0 && memoryGb === 0 && gpus === 0) continue;
+      if (node.headroom.heartbeatBytes === 0) continue;
       Object.assign(node.headroom, noResources());
       this.reindex(node);
     }
@@ -207,7 +204,7 @@
   includesHeadroom: boolean,
 ): Generator<NodeCapacity> {
   const buckets = includesHeadroom ? group.byFreeCpus : group.byUnreservedCpus;
-  for (let bucket = firstBucketFor(group.type, request.cpus); bucket < buckets.length; bucket += 1) {
+  for (let bucket = firstBucketFor(group.type, request); bucket < buckets.length; bucket += 1) {
     const nodes = buckets[bucket];
     // A copy: nodes move between buckets while the caller iterates.
     if (nodes !== undefined && nodes.size > 0) yield* [...nodes];
--- a/src/core/placement/constrained-types.ts
+++ b/src/core/placement/constrained-types.ts
@@ -2,7 +2,7 @@
 import type { JobState } from '../model.js';
 import type { CoreState } from '../state.js';
 import type { JobSpec } from '../types.js';
-import { fits } from './resources.js';
+import { fitsType } from './resources.js';
 
 /** Types that are the only suitable one for some job in the queue, each with the first such job. */
 export function constrainedTypes(state: CoreState, queue: readonly JobState[]): Map<string, JobState> {
@@ -30,7 +30,7 @@
 export function soleType(state: CoreState, spec: JobSpec): string | null {
   let sole: string | null = null;
   for (const type of state.machineTypes.values()) {
-    const isSuitable = fits(spec, type) && (spec.types?.includes(type.name) ?? true);
+    const isSuitable = fitsType(spec, type) && (spec.types?.includes(type.name) ?? true);
     if (!isSuitable) continue;
     if (sole !== null) return null;
     sole = type.name;
--- a/src/core/placement/easy.ts
+++ b/src/core/placement/easy.ts
@@ -132,7 +132,7 @@
 
 /** Places a job's waiting tasks. Returns false if some are left because no machine has room for them. */
 function placeJob(pass: PlacementPass, job: JobState): boolean {
-  const tooLarge = pass.unplaceable.filter(({ request }) => fits(request, job.spec));
+  const tooLarge = pass.unplaceable.filter(({ request }) => fits(request, job.request));
   if (tooLarge.some(({ includesHeadroom }) => includesHeadroom)) return false;
   const preferences = preferencesOf(pass, job);
   if (tooLarge.length > 0 && !preferences.mayUseHeadroom) return false;
--- a/src/core/placement/gang.ts
+++ b/src/core/placement/gang.ts
@@ -39,6 +39,6 @@
   for (const { node, end } of placed) {
     pass.state.capacityIndex.reindex(node);
     for (const { shadowTime, extra } of reservedForOthers(pass, job, node))
-      if (end > shadowTime) release(extra, job.spec);
+      if (end > shadowTime) release(extra, job.request);
   }
 }
--- a/src/core/placement/headroom.ts
+++ b/src/core/placement/headroom.ts
@@ -7,7 +7,7 @@
 import type { CoreState } from '../state.js';
 import type { NodeCapacity } from './capacity-index.js';
 import { constrainedTypesInDemand, soleType } from './constrained-types.js';
-import { fits, satisfiesConstraints } from './resources.js';
+import { fits, satisfiesConstraints, taskRequest } from './resources.js';
 
 /** Number of mean arrival gaps without an arrival after which a class counts as inactive. */
 export const MAX_ARRIVAL_GAPS = 8;
@@ -45,6 +45,7 @@
     (a, b) => b.machine.cachedImages.size - a.machine.cachedImages.size,
   );
   demands.forEach(({ spec }, index) => {
+    const request = taskRequest(spec);
     const hasChoice = soleType(state, spec) === null;
     let remaining = missing[index] ?? 0;
     for (const node of byCachedImages) {
@@ -53,7 +54,7 @@
       // A class with a choice of types leaves a constrained type to the classes that can run on no other.
       if (hasChoice && constrained.has(type)) continue;
       if (!satisfiesConstraints(spec, type, zone, spot)) continue;
-      for (; remaining > 0 && fits(spec, node.unreserved); remaining -= 1)
+      for (; remaining > 0 && fits(request, node.unreserved); remaining -= 1)
         capacityIndex.reserveHeadroom(node, spec);
     }
   });
--- a/src/core/placement/job-reservation.ts
+++ b/src/core/placement/job-reservation.ts
@@ -40,16 +40,16 @@
 /** The earliest reservation for a job's tasks that start together; null: they never fit. */
 export function reserveFor(pass: PlacementPass, job: JobState): Reservation | null {
   const { state, now } = pass;
-  const { spec } = job;
+  const { spec, request } = job;
   const isEligible = nodeFilter(pass, job);
   const count = startTogetherCount(job);
-  if (count === 1) return earliestShadow(state, spec, now, isEligible);
+  if (count === 1) return earliestShadow(state, request, now, isEligible);
   const nodes = [...state.capacityIndex.nodes].filter(isEligible);
-  if (!spec.oneZone) return reserveAcrossMachines(state, nodes, spec, count, now);
+  if (!spec.oneZone) return reserveAcrossMachines(state, nodes, request, count, now);
   let earliest: Reservation | null = null;
   for (const zone of new Set(nodes.map(({ machine }) => machine.zone))) {
     const inZone = nodes.filter(({ machine }) => machine.zone === zone);
-    const found = reserveAcrossMachines(state, inZone, spec, count, now);
+    const found = reserveAcrossMachines(state, inZone, request, count, now);
     if (found === null) continue;
     if (earliest === null || found.shadowTime < earliest.shadowTime) earliest = found;
   }
@@ -63,11 +63,13 @@
   now: Now,
 ): Map<NodeCapacity, ReservedCapacity> {
   const reserved = new Map<NodeCapacity, ReservedCapacity>();
-  for (const [type, { spec }] of jobsByType) {
-    const shadowTimes = state.capacityIndex.shadowTimes(spec, (node) => shadowOn(state, node, spec, now));
+  for (const [type, { request }] of jobsByType) {
+    const shadowTimes = state.capacityIndex.shadowTimes(request, (node) =>
+      shadowOn(state, node, request, now),
+    );
     for (const node of state.capacityIndex.ofType(type)) {
       const shadow = shadowTimes.of(node);
-      if (shadow.at < Infinity) reserved.set(node, reservedCapacity(shadow, spec));
+      if (shadow.at < Infinity) reserved.set(node, reservedCapacity(shadow, request));
     }
   }
   return reserved;
--- a/src/core/placement/node-capacity.ts
+++ b/src/core/placement/node-capacity.ts
@@ -3,7 +3,8 @@
  * capacity index sorts into buckets of free CPUs.
  */
 import type { Machine } from '../model.js';
-import type { MachineType, Resources } from '../types.js';
+import { MIN_TASK_HEARTBEAT_BYTES } from '../message-sizes.js';
+import type { MachineType, ResourceRequest, Resources } from '../types.js';
 import { RESOURCE_EPSILON } from './resources.js';
 
 /** Number of equal steps into which a machine type's CPUs are divided for the buckets. */
@@ -52,12 +53,15 @@
 const createBuckets = (): Set<NodeCapacity>[] =>
   Array.from({ length: CPU_BUCKETS + 1 }, () => new Set<NodeCapacity>());
 
-/** Index of the bucket for a node of this type with `cpus` CPUs. */
-export const bucketOf = (type: MachineType, cpus: number): number => {
+function bucketOfCpus(type: MachineType, cpus: number): number {
   const bucket = Math.floor((cpus / Math.max(RESOURCE_EPSILON, type.cpus)) * CPU_BUCKETS + RESOURCE_EPSILON);
   return Math.max(0, Math.min(CPU_BUCKETS, bucket));
-};
+}
+
+/** Index of the bucket for a node of this type; one whose heartbeat has no room for another task counts as full. */
+export const bucketOf = (type: MachineType, { cpus, heartbeatBytes }: ResourceRequest): number =>
+  bucketOfCpus(type, heartbeatBytes < MIN_TASK_HEARTBEAT_BYTES ? 0 : cpus);
 
-/** Index of the first bucket whose nodes may have at least `cpus` CPUs. */
-export const firstBucketFor = (type: MachineType, cpus: number): number =>
-  bucketOf(type, cpus - RESOURCE_EPSILON);
+/** Index of the first bucket whose nodes may have room for a request. */
+export const firstBucketFor = (type: MachineType, { cpus }: ResourceRequest): number =>
+  bucketOfCpus(type, cpus - RESOURCE_EPSILON);
--- a/src/core/placement/placement-pass.ts
+++ b/src/core/placement/placement-pass.ts
@@ -61,16 +61,16 @@
 /** Allocates a node's resources to one task of a job that is expected to end at `end`. */
 export function allocateOnNode(pass: PlacementPass, job: JobState, node: NodeCapacity, end: number): void {
   const { capacityIndex } = pass.state;
-  const { spec } = job;
-  if (fits(spec, node.unreserved)) allocate(node.unreserved, spec);
+  const { spec, request } = job;
+  if (fits(request, node.unreserved)) allocate(node.unreserved, request);
   else {
     capacityIndex.consumeHeadroom(spec);
-    allocateFromHeadroom(node, spec);
+    allocateFromHeadroom(node, request);
   }
   node.busyUntil = Math.max(node.busyUntil, end);
   capacityIndex.recordChange(node);
   for (const { shadowTime, extra } of reservedForOthers(pass, job, node))
-    if (end > shadowTime) allocate(extra, spec);
+    if (end > shadowTime) allocate(extra, request);
 }
 
 /** Allocates from the unreserved resources first, and takes the remainder from the headroom. */
@@ -78,7 +78,7 @@
   const free = addResources(node.unreserved, node.headroom);
   allocate(free, request);
   const headroom = noResources();
-  for (const resource of ['cpus', 'gpus', 'memoryGb'] as const) {
+  for (const resource of ['cpus', 'gpus', 'memoryGb', 'heartbeatBytes'] as const) {
     headroom[resource] = Math.min(node.headroom[resource], free[resource]);
     free[resource] -= headroom[resource];
   }
--- a/src/core/placement/preemption.ts
+++ b/src/core/placement/preemption.ts
@@ -12,7 +12,15 @@
 import type { JobState, LiveClaim, Machine, Now } from '../model.js';
 import type { CoreState } from '../state.js';
 import type { ResourceRequest, Resources } from '../types.js';
-import { addResources, allocate, fits, release, RESOURCE_EPSILON, resourcesOf } from './resources.js';
+import {
+  addResources,
+  allocate,
+  fits,
+  fitsType,
+  release,
+  RESOURCE_EPSILON,
+  resourcesOf,
+} from './resources.js';
 import type { NodeCapacity } from './capacity-index.js';
 
 /** Minimum run time of a task before it may be preempted, as a share of its job's maximum wait. */
@@ -155,15 +163,15 @@
   while (!fits(request, free)) {
     const next = candidates.shift();
     if (next === undefined) return null;
-    release(free, next.job.spec);
+    release(free, next.job.request);
     victims.push(next);
   }
   // A victim that was taken before a larger one may not be needed any more.
   for (const claim of [...victims].reverse()) {
     const without = resourcesOf(free);
-    allocate(without, claim.job.spec);
+    allocate(without, claim.job.request);
     if (!fits(request, without)) continue;
-    allocate(free, claim.job.spec);
+    allocate(free, claim.job.request);
     victims.splice(victims.indexOf(claim), 1);
   }
   return victims;
@@ -181,7 +189,7 @@
   now: Now,
 ): PreemptionOption[] {
   const free = addResources(node.unreserved, node.headroom);
-  for (const claim of node.machine.claims.values()) if (claim.stopRequested) release(free, claim.job.spec);
+  for (const claim of node.machine.claims.values()) if (claim.stopRequested) release(free, claim.job.request);
   const candidates = [...preemptible].sort((a, b) => compareVictims(a, b, now));
   const options: PreemptionOption[] = [];
   while (options.length < count) {
@@ -223,8 +231,8 @@
   const options: PreemptionOption[] = [];
   for (const machine of machines) {
     const node = state.capacityIndex.of(machine);
-    if (node === undefined || !isEligible(node) || !fits(job.spec, node.type)) continue;
-    options.push(...preemptionOptions(node, preemptible.get(machine) ?? [], job.spec, count, now));
+    if (node === undefined || !isEligible(node) || !fitsType(job.spec, node.type)) continue;
+    options.push(...preemptionOptions(node, preemptible.get(machine) ?? [], job.request, count, now));
   }
   options.sort((a, b) => a.loss - b.loss || latestArrival(b) - latestArrival(a));
   const victims = options.slice(0, count).flatMap((option) => option.victims);
--- a/src/core/placement/resources.ts
+++ b/src/core/placement/resources.ts
@@ -1,5 +1,6 @@
 /** Arithmetic on resources, and which machines a job may use. */
 import type { JobState, Machine, Now } from '../model.js';
+import { heartbeatBytesPerTask, MAX_LIST_BYTES } from '../message-sizes.js';
 import type { JobSpec, MachineType, ResourceRequest, Resources } from '../types.js';
 
 /** Tolerance for rounding errors in sums of resources. */
@@ -10,7 +11,8 @@
   return (
     request.cpus <= free.cpus + RESOURCE_EPSILON &&
     request.gpus <= free.gpus + RESOURCE_EPSILON &&
-    request.memoryGb <= free.memoryGb + RESOURCE_EPSILON
+    request.memoryGb <= free.memoryGb + RESOURCE_EPSILON &&
+    request.heartbeatBytes <= free.heartbeatBytes
   );
 }
 
@@ -19,6 +21,7 @@
   free.cpus -= request.cpus;
   free.gpus -= request.gpus;
   free.memoryGb -= request.memoryGb;
+  free.heartbeatBytes -= request.heartbeatBytes;
 }
 
 /** Adds a request to free resources, in place. */
@@ -26,6 +29,7 @@
   free.cpus += request.cpus;
   free.gpus += request.gpus;
   free.memoryGb += request.memoryGb;
+  free.heartbeatBytes += request.heartbeatBytes;
 }
 
 /** The sum of two amounts of resources. */
@@ -33,22 +37,55 @@
   cpus: a.cpus + b.cpus,
   gpus: a.gpus + b.gpus,
   memoryGb: a.memoryGb + b.memoryGb,
+  heartbeatBytes: a.heartbeatBytes + b.heartbeatBytes,
 });
 
 /** A copy of an object's resources, without its other properties. */
-export const resourcesOf = ({ cpus, gpus, memoryGb }: ResourceRequest): Resources => ({
+export const resourcesOf = ({ cpus, gpus, memoryGb, heartbeatBytes }: ResourceRequest): Resources => ({
   cpus,
   gpus,
   memoryGb,
+  heartbeatBytes,
 });
 
+/** What one task of a job takes of its machine. */
+export const taskRequest = (spec: JobSpec): ResourceRequest => ({
+  cpus: spec.cpus,
+  gpus: spec.gpus,
+  memoryGb: spec.memoryGb,
+  heartbeatBytes: heartbeatBytesPerTask(spec),
+});
+
+/** The resources of an empty machine. */
+export const machineCapacity = ({ cpus, gpus, memoryGb }: MachineType): Resources => ({
+  cpus,
+  gpus,
+  memoryGb,
+  heartbeatBytes: MAX_LIST_BYTES,
+});
+
+/** Whether a task of a job fits an empty machine. */
+export const fitsType = (spec: JobSpec, type: MachineType): boolean =>
+  fits(taskRequest(spec), machineCapacity(type));
+
+/** How many tasks of a job fit an empty machine, by the resources that nearly every task takes. */
+export function tasksPerMachine(spec: JobSpec, type: MachineType): number {
+  const request = taskRequest(spec);
+  const capacity = machineCapacity(type);
+  const counts = (['cpus', 'memoryGb', 'heartbeatBytes'] as const).map(
+    (resource) => capacity[resource] / Math.max(RESOURCE_EPSILON, request[resource]),
+  );
+  return Math.floor(Math.min(...counts));
+}
+
 /** Zero of each resource. */
-export const noResources = (): Resources => ({ cpus: 0, gpus: 0, memoryGb: 0 });
+export const noResources = (): Resources => ({ cpus: 0, gpus: 0, memoryGb: 0, heartbeatBytes: 0 });
 
-/** The resources of a machine that its claims leave free. */
+/** The resources of a machine that its claims leave free, and the other tasks that it still reports. */
 export function freeResources(machine: Machine, type: MachineType): Resources {
-  const free = resourcesOf(type);
+  const free = machineCapacity(type);
   allocate(free, machine.allocated);
+  free.heartbeatBytes -= machine.unclaimedHeartbeatBytes;
   return free;
 }
 
--- a/src/core/placement/scoring.ts
+++ b/src/core/placement/scoring.ts
@@ -74,9 +74,9 @@
   const { state, now } = pass;
   const { machine, type } = node;
   const { job, runMs } = preferences;
-  const { spec } = job;
+  const { spec, request } = job;
   const free = preferences.mayUseHeadroom ? addResources(node.unreserved, node.headroom) : node.unreserved;
-  if (!fits(spec, free)) return null;
+  if (!fits(request, free)) return null;
   if (!satisfiesConstraints(spec, machine.type, machine.zone, machine.spot)) return null;
   if (!isZoneOpen(machine.zone) || isExcluded(job, machine.name)) return null;
   if (!isSchedulable(state, machine, now)) return null;
@@ -106,17 +106,17 @@
   node: NodeCapacity,
   end: number,
 ): boolean {
-  const { spec } = job;
+  const { spec, request } = job;
   const isQuicklyPreempted = isBestEffort && spec.checkpointS > 0;
   for (const { job: owner, capacity } of pass.reservations) {
     const reserved = owner === job ? undefined : capacity.get(node);
     if (reserved === undefined) continue;
     // Best-effort work with checkpoints is preempted quickly, so it does not block a job of higher priority.
     if (isQuicklyPreempted && owner.priority < job.priority) continue;
-    if (!mayBackfill(reserved, spec, end)) return false;
+    if (!mayBackfill(reserved, request, end)) return false;
   }
   const constrained = avoidsConstrainedTypes ? pass.constrainedCapacity.get(node) : undefined;
-  return constrained === undefined || mayBackfill(constrained, spec, end);
+  return constrained === undefined || mayBackfill(constrained, request, end);
 }
 
 /** Milliseconds until a machine's next heartbeat is due at the latest: a start is sent in the answer to it. */
--- a/src/core/placement/shadow-time.ts
+++ b/src/core/placement/shadow-time.ts
@@ -3,12 +3,12 @@
  * earliest time at which a blocked job fits, as running tasks end; the extra nodes are the
  * resources left free beside the job at that time. Both are counted per machine and resource.
  */
-import { expectedEnd } from '../fleet/expected-end.js';
-import type { LiveClaim, Now } from '../model.js';
+import { expectedReleases, type ExpectedRelease } from '../fleet/expected-end.js';
+import type { Now } from '../model.js';
 import type { CoreState } from '../state.js';
 import type { ResourceRequest, Resources } from '../types.js';
 import type { NodeCapacity } from './capacity-index.js';
-import { allocate, fits, release, resourcesOf } from './resources.js';
+import { allocate, fits, machineCapacity, release, resourcesOf } from './resources.js';
 import type { NodeShadow } from './shadow-time-cache.js';
 
 /** Capacity of one node that is reserved for a blocked job. */
@@ -51,15 +51,10 @@
 ): NodeShadow {
   const free = resourcesOf(node.unreserved);
   if (fits(request, free)) return { at: now.monotonicMs, free };
-  if (!fits(request, node.type)) return { at: Infinity, free };
-  const ends: { at: number; claim: LiveClaim }[] = [];
-  for (const claim of node.machine.claims.values()) {
-    const end = expectedEnd(state, claim, now);
-    if (end < Infinity) ends.push({ at: end, claim });
-  }
-  ends.sort((x, y) => x.at - y.at);
-  for (const { at, claim } of ends) {
-    release(free, claim.job.spec);
+  if (!fits(request, machineCapacity(node.type))) return { at: Infinity, free };
+  for (const { at, resources } of expectedReleases(state, node.machine, now)) {
+    if (at === Infinity) break;
+    release(free, resources);
     if (fits(request, free)) return { at, free };
   }
   return { at: Infinity, free };
@@ -128,16 +123,14 @@
   }
 }
 
-/** Expected ends of all tasks on some nodes, earliest first. */
-function expectedEnds(
+/** What some nodes are expected to free, earliest first. */
+function releasesOn(
   state: CoreState,
   nodes: readonly NodeCapacity[],
   now: Now,
-): { node: NodeCapacity; claim: LiveClaim; at: number }[] {
+): (ExpectedRelease & { readonly node: NodeCapacity })[] {
   return nodes
-    .flatMap((node) =>
-      [...node.machine.claims.values()].map((claim) => ({ node, claim, at: expectedEnd(state, claim, now) })),
-    )
+    .flatMap((node) => expectedReleases(state, node.machine, now).map((released) => ({ ...released, node })))
     .sort((a, b) => a.at - b.at);
 }
 
@@ -154,10 +147,10 @@
 ): Reservation | null {
   const fitting = new FittingTasks(nodes, request, count);
   let shadowTime = now.monotonicMs;
-  for (const { node, claim, at } of expectedEnds(state, nodes, now)) {
+  for (const { node, resources, at } of releasesOn(state, nodes, now)) {
     if (fitting.total >= count || at === Infinity) break;
     shadowTime = at;
-    fitting.release(node, claim.job.spec);
+    fitting.release(node, resources);
   }
   if (fitting.total < count) return null;
   const capacity = new Map<NodeCapacity, ReservedCapacity>();
--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -59,6 +59,8 @@
   cpus: number;
   gpus: number;
   memoryGb: number;
+  /** Bytes in the heartbeat of the machine, whose size is limited. */
+  heartbeatBytes: number;
 }
 
 /** Amounts of resources that are only read. */
--- a/test/easy-backfilling.test.ts
+++ b/test/easy-backfilling.test.ts
@@ -11,7 +11,7 @@
   objectives.set(jobClass, { startTargetsMs: [ms], deadlineMultiples: [], finishTargetsMs: [] });
 }
 
-const resources = (cpus: number) => ({ cpus, gpus: 0, memoryGb: cpus });
+const resources = (cpus: number) => ({ cpus, gpus: 0, memoryGb: cpus, heartbeatBytes: cpus });
 
 test('a task that ends by the shadow time may be backfilled whatever resources it needs', () => {
   expect(mayBackfill({ shadowTime: 100, extra: resources(0) }, resources(8), 100)).toBe(true);
--- a/test/emulators/core-harness.ts
+++ b/test/emulators/core-harness.ts
@@ -206,7 +206,12 @@
   /** Makes the core a new leader that has loaded one job and its claims from the store. */
   takeOver(spec: JobSpec, claims: Readonly<Record<string, Claim>>): void {
     const { id, team, cpus, gpus, memoryGb } = spec;
-    const record = { team, cpus, gpus, memoryGb, done: '', attempts: {}, claims };
+    const tasksPerChunk = this.state.legacyChunkTasks;
+    const chunkIndexes = new Set(Object.keys(claims).map((task) => Math.floor(Number(task) / tasksPerChunk)));
+    const claimsIn = (chunk: number): Record<string, Claim> =>
+      Object.fromEntries(
+        Object.entries(claims).filter(([task]) => Math.floor(Number(task) / tasksPerChunk) === chunk),
+      );
     this.stepAndCommit({
       kind: 'becomeLeader',
       term: TERM,
@@ -216,7 +221,14 @@
       legacyChunkTasks: this.state.legacyChunkTasks,
       demandHistory: [],
       jobs: [{ value: spec, modRevision: 50 }],
-      chunks: [{ job: id, name: { index: 0, width: null }, record: { value: record, modRevision: 60 } }],
+      chunks: [...chunkIndexes].map((index) => ({
+        job: id,
+        name: { index, width: null },
+        record: {
+          value: { team, cpus, gpus, memoryGb, done: '', attempts: {}, claims: claimsIn(index) },
+          modRevision: 60,
+        },
+      })),
     });
   }
 
--- a/test/planning-equivalence.test.ts
+++ b/test/planning-equivalence.test.ts
@@ -2,7 +2,15 @@
 import fc from 'fast-check';
 import { expect, test } from 'vitest';
 import { earliestStart, StartQueue, type PlannedMachine } from '../src/core/autoscaling/index.js';
-import { reserveAcrossMachines, earliestShadow, fits, freeResources } from '../src/core/placement/index.js';
+import {
+  allocate,
+  earliestShadow,
+  fits,
+  freeResources,
+  machineCapacity,
+  reserveAcrossMachines,
+} from '../src/core/placement/index.js';
+import { MAX_LIST_BYTES } from '../src/core/message-sizes.js';
 import { claimTask, addJob } from '../src/core/persistence/index.js';
 import { getOrCreateMachine } from '../src/core/fleet/index.js';
 import { CoreHarness, EIGHT_CPU_TYPE, job } from './emulators/core-harness.js';
@@ -10,6 +18,7 @@
 const cpusAndMemory = fc.record({
   cpus: fc.integer({ min: 1, max: 8 }),
   memoryGb: fc.integer({ min: 1, max: 64 }),
+  heartbeatBytes: fc.integer({ min: 1, max: MAX_LIST_BYTES }),
 });
 const request = cpusAndMemory.map((amounts) => ({ ...amounts, gpus: 0 }));
 const at = fc.integer({ min: 1, max: 40 }).map((s) => 102_000 + s * 1000);
@@ -24,11 +33,12 @@
       fc.integer({ min: 1, max: 12 }),
       (generated, requested, tasks) => {
         const planned = generated.map(({ ready, ends }, i): PlannedMachine => {
-          const free = { cpus: 8, gpus: 0, memoryGb: 64 };
-          const kept = ends.filter(
-            ({ request: taken }) => fits(taken, free) && (free.cpus -= taken.cpus) >= 0,
-          );
-          for (const { request: taken } of kept) free.memoryGb -= taken.memoryGb;
+          const free = machineCapacity(EIGHT_CPU_TYPE);
+          const kept = ends.filter(({ request: taken }) => {
+            if (!fits(taken, free)) return false;
+            allocate(free, taken);
+            return true;
+          });
           kept.sort((a, b) => a.at - b.at);
           return {
             machine: `m${i}`,
--- a/test/wire.test.ts
+++ b/test/wire.test.ts
@@ -1,9 +1,12 @@
 /** Validation of messages from other systems. */
+import fc from 'fast-check';
 import { expect, test } from 'vitest';
+import { commandBytes } from '../src/core/message-sizes.js';
+import type { WorkerCommand } from '../src/core/types.js';
 import { encodeStatus, MAX_FRAME_BYTES, PeerMessageReader, type PeerStatus } from '../src/wire/peers.js';
 import { parseCatalog, parseMachinePage, parseProvisioned } from '../src/wire/cloud.js';
 import { parseChanges, parsePage, parseRevision } from '../src/wire/key-value-store.js';
-import { encodeReply, parseHeartbeat, parseTaskName } from '../src/wire/workers.js';
+import { encodeDirectCommands, encodeReply, parseHeartbeat, parseTaskName } from '../src/wire/workers.js';
 
 const status: PeerStatus = {
   node: 'n-0',
@@ -96,3 +99,34 @@
   };
   expect(parseChanges(response)?.changes.map(({ modRevision }) => modRevision)).toEqual([7, 8]);
 });
+
+const jobName = fc.oneof(
+  fc.constant('req-000002'),
+  fc.string({ unit: 'grapheme', minLength: 1, maxLength: 40 }),
+);
+const anyCommand: fc.Arbitrary<WorkerCommand> = fc.oneof(
+  fc.record({
+    op: fc.constantFrom('start' as const, 'forget' as const),
+    job: jobName,
+    task: fc.nat(),
+    attempt: fc.maxSafeNat(),
+  }),
+  fc.record({
+    op: fc.constant('stop' as const),
+    job: jobName,
+    task: fc.nat(),
+    attempt: fc.maxSafeNat(),
+    graceS: fc.double({ min: 0, max: 1e6, noNaN: true }),
+  }),
+);
+
+test('the size that is counted for a command is no less than what it takes in a message to a worker', () => {
+  fc.assert(
+    fc.property(anyCommand, (command) => {
+      const bytes = (commands: WorkerCommand[]): number =>
+        Buffer.byteLength(encodeDirectCommands(7, 1, commands));
+      expect(bytes([command, command]) - bytes([command])).toBeLessThanOrEqual(commandBytes(command));
+    }),
+    { seed: 59 },
+  );
+});
