Frames between controllers are bounded in bytes, whatever they carry

Cause: a frame was bounded by counts: 500 commands beside up to 40 KiB of names, 600 tasks in forwarded heartbeats. One answer with 1,150 commands, which one line to a worker holds, made a frame of more than 64 KiB beside the names; the receiver takes that for a malformed stream and closes the link, and every heartbeat that waits on it is routed anew.

A heartbeat that fits no frame is not forwarded: its worker is sent to the leader.

The sizes that are counted are checked against the encoded ones in test/wire.test.ts.

--- a/src/controller/heartbeat-intake.ts
+++ b/src/controller/heartbeat-intake.ts
@@ -11,13 +11,15 @@
 import type { Heartbeat, ReportedTask, WorkerCommand } from '../core/types.js';
 import { snapshotIntervalMs } from '../membership/evidence-rules.js';
 import type { Timing } from '../config/settings.js';
-import type {
-  AnswersMessage,
-  ForwardedAnswer,
-  ForwardedHeartbeat,
-  IntakeMessage,
-  RedirectQuota,
+import {
+  forwardedHeartbeatBytes,
+  type AnswersMessage,
+  type ForwardedAnswer,
+  type ForwardedHeartbeat,
+  type IntakeMessage,
+  type RedirectQuota,
 } from '../wire/intake.js';
+import { portionLength } from '../wire/portions.js';
 
 /** Answers a worker: an HTTP status and a body of the workers' interface. */
 export type RespondToWorker = (status: number, body: string) => void;
@@ -80,9 +82,10 @@
 const FORWARD_TIMEOUT_MS = 3000;
 /** After this many intervals of `snapshotIntervalMs` without a snapshot, the leader's view counts as unknown. */
 const MAX_MISSED_SNAPSHOTS = 2.5;
-/** Tasks in the heartbeats of one message, at most: the size of a message is bounded. */
-const MAX_TASKS_IN_MESSAGE = 600;
+/** Heartbeats in one message, at most, whatever their size. */
 const MAX_FORWARDED_IN_MESSAGE = 100;
+/** Maximum bytes of a forwarded heartbeat; the rest of the frame is left to the other fields. */
+const MAX_FORWARDED_BYTES = 60 * 1024;
 const MAX_KEEPALIVES_IN_MESSAGE = 1000;
 
 const isSameTask = (one: ReportedTask, other: ReportedTask | undefined): boolean =>
@@ -159,7 +162,7 @@
   accept(heartbeat: Heartbeat, done: RespondToWorker): boolean {
     const view = this.#activeView();
     if (view === null || this.#pending.size >= MAX_TRACKED_MACHINES) return false;
-    if (heartbeat.token > view.term) return false;
+    if (heartbeat.token > view.term || forwardedHeartbeatBytes(heartbeat) > MAX_FORWARDED_BYTES) return false;
     const known = this.#known.get(heartbeat.machine);
     if (known !== undefined && !this.#isNewer(heartbeat, known)) {
       done(503, '{}');
@@ -304,14 +307,8 @@
   }
 
   #takeHeartbeats(): ForwardedHeartbeat[] {
-    let tasks = 0;
-    let count = 0;
-    for (const { heartbeat } of this.#heartbeats) {
-      tasks += heartbeat.tasks.length;
-      if (count > 0 && (tasks > MAX_TASKS_IN_MESSAGE || count >= MAX_FORWARDED_IN_MESSAGE)) break;
-      count += 1;
-    }
-    return this.#heartbeats.splice(0, count);
+    const count = portionLength(this.#heartbeats, ({ heartbeat }) => forwardedHeartbeatBytes(heartbeat));
+    return this.#heartbeats.splice(0, Math.min(count, MAX_FORWARDED_IN_MESSAGE));
   }
 
   /** Processes a message from the leader, whose sender and term the caller has checked. */
--- a/src/controller/shared-heartbeats.ts
+++ b/src/controller/shared-heartbeats.ts
@@ -12,7 +12,13 @@
   type Rebalancing,
   type FollowerLoad,
 } from '../membership/heartbeat-sharing.js';
-import type { ForwardedAnswer, IntakeMessage, HeartbeatsMessage } from '../wire/intake.js';
+import {
+  answerBytes,
+  answersBytes,
+  type ForwardedAnswer,
+  type IntakeMessage,
+  type HeartbeatsMessage,
+} from '../wire/intake.js';
 import { nameBytes, portionLength } from '../wire/portions.js';
 import type { ControllerContext } from './context.js';
 
@@ -50,9 +56,6 @@
 
 /** Messages that were in transit for more than this share of a worker's lease are ignored and do not renew it. */
 const MAX_AGE_SHARE = 0.5;
-/** Commands in one message, at most, with each answer counted as one more: the size of a message is bounded. */
-const MAX_COMMANDS_IN_MESSAGE = 500;
-
 /** The answer as it is sent at `now` (monotonic time in ms): without starts whose lease is over. */
 function toForwardedAnswer({ startLease, ...answer }: UnsentAnswer, now: number): ForwardedAnswer {
   if (startLease === undefined) return answer;
@@ -217,21 +220,15 @@
 
   #flush(node: string, outbox: Outbox): void {
     while (outbox.answers.length > 0 || outbox.attention.length > 0) {
-      const attention = outbox.attention.splice(0, portionLength(outbox.attention, nameBytes));
-      this.#send(node, outbox, { answers: this.#takeAnswers(node, outbox), attention });
+      const answers = this.#takeAnswers(node, outbox);
+      const count = portionLength(outbox.attention, nameBytes, 0, answersBytes(answers));
+      this.#send(node, outbox, { answers, attention: outbox.attention.splice(0, count) });
     }
   }
 
   #takeAnswers(node: string, { answers }: Outbox): ForwardedAnswer[] {
-    let commands = 0;
-    let count = 0;
-    for (const answer of answers) {
-      commands += 1 + answer.commands.length;
-      if (count > 0 && commands > MAX_COMMANDS_IN_MESSAGE) break;
-      count += 1;
-    }
     const now = this.controller.ports.clock.monotonicMs();
-    const taken = answers.splice(0, count);
+    const taken = answers.splice(0, portionLength(answers, answerBytes));
     const until = Math.max(...taken.map(({ startLease }) => startLease?.validUntil ?? 0));
     if (until > (this.#startsUntil.get(node) ?? 0)) this.#startsUntil.set(node, until);
     return taken.map((answer) => toForwardedAnswer(answer, now));
--- a/src/wire/intake.ts
+++ b/src/wire/intake.ts
@@ -253,6 +253,33 @@
   };
 }
 
+/** Upper bound of the bytes of an answer besides its commands, and of a command besides the job's id. */
+const ANSWER_OVERHEAD_BYTES = 40;
+const COMMAND_OVERHEAD_BYTES = 36;
+
+/** Upper bound of the bytes that an answer takes in a message. */
+export const answerBytes = ({ commands }: Pick<ForwardedAnswer, 'commands'>): number =>
+  commands.reduce(
+    (bytes, { job }) => bytes + Buffer.byteLength(job) + COMMAND_OVERHEAD_BYTES,
+    ANSWER_OVERHEAD_BYTES,
+  );
+
+/** Upper bound of the bytes that answers take in a message. */
+export const answersBytes = (answers: readonly Pick<ForwardedAnswer, 'commands'>[]): number =>
+  answers.reduce((bytes, answer) => bytes + answerBytes(answer), 0);
+
+/** Upper bound of the bytes of a forwarded heartbeat besides its names and tasks, and of a task besides its job's id. */
+const HEARTBEAT_OVERHEAD_BYTES = 120;
+const TASK_OVERHEAD_BYTES = 28;
+
+/** Upper bound of the bytes that a forwarded heartbeat takes in a message. */
+export function forwardedHeartbeatBytes({ machine, address, type, zone, tasks }: Heartbeat): number {
+  let bytes = HEARTBEAT_OVERHEAD_BYTES;
+  for (const name of [machine, address, type, zone]) bytes += Buffer.byteLength(name);
+  for (const { job } of tasks) bytes += Buffer.byteLength(job) + TASK_OVERHEAD_BYTES;
+  return bytes;
+}
+
 /** Converts a message to the form that protobuf encodes. */
 export function intakeToWire(message: IntakeMessage): object {
   const { kind, ...rest } = message;
--- a/src/wire/peers.ts
+++ b/src/wire/peers.ts
@@ -5,6 +5,7 @@
 import protobuf from 'protobufjs/light.js';
 import { LINK_STATES, type LinkState, type Observation, type MemberStatus } from '../membership/status.js';
 import {
+  answersBytes,
   INTAKE_TYPES,
   intakeFromWire,
   intakeToWire,
@@ -155,11 +156,15 @@
 type PortionedLists = Omit<Continuation, 'viewConfirmedAt'>;
 const NO_LISTS: PortionedLists = { counts: [], relayedMachines: [], attention: [] };
 
-/** Encodes a message in several frames: one by `encodeFirst` with the first portion, continuations with the others. */
+/**
+ * Encodes a message in several frames: one by `encodeFirst` with the first portion, continuations with the others.
+ * `usedBytes`: what the first frame carries besides the portion.
+ */
 function encodePortions(
   lists: Partial<PortionedLists>,
   viewConfirmedAt: number,
   encodeFirst: (portion: PortionedLists, viewConfirmedAt: number, continuations: number) => object,
+  usedBytes = 0,
 ): Uint8Array {
   const portions: PortionedLists[] = [
     ...portionsOf(lists.counts ?? [], countBytes).map((counts) => ({ ...NO_LISTS, counts })),
@@ -167,7 +172,10 @@
       ...NO_LISTS,
       relayedMachines,
     })),
-    ...portionsOf(lists.attention ?? [], nameBytes).map((attention) => ({ ...NO_LISTS, attention })),
+    ...portionsOf(lists.attention ?? [], nameBytes, usedBytes).map((attention) => ({
+      ...NO_LISTS,
+      attention,
+    })),
   ];
   const [firstPortion = NO_LISTS, ...rest] = portions;
   const otherPortions = rest.slice(0, MAX_CONTINUATIONS);
@@ -232,6 +240,7 @@
       intake: intakeToWire({ ...message, attention, viewConfirmedAt }),
       continuations,
     }),
+    answersBytes(message.answers),
   );
 }
 
--- a/test/message-limits.test.ts
+++ b/test/message-limits.test.ts
@@ -1,11 +1,17 @@
 /** Messages stay within 64 KiB however many tiny tasks a job has, and what does not fit follows with a later message. */
 import { Agent, request } from 'node:http';
 import type { AddressInfo } from 'node:net';
+import fc from 'fast-check';
 import { describe, expect, test } from 'vitest';
 import { createPublicServer, type PublicApi } from '../src/adapters/public-server.js';
+import { SharedHeartbeats } from '../src/controller/shared-heartbeats.js';
+import type { ControllerContext } from '../src/controller/context.js';
 import type { Effect } from '../src/core/effects.js';
 import type { Claim, JobSpec, MachineType, ReportedTask, WorkerCommand } from '../src/core/types.js';
+import { encodeIntake, MAX_FRAME_BYTES, PeerMessageReader } from '../src/wire/peers.js';
+import type { AnswersMessage, ForwardedAnswer, IntakeMessage } from '../src/wire/intake.js';
 import { encodeReply, parseHeartbeat } from '../src/wire/workers.js';
+import { ProcessClock, VirtualClock } from './emulators/clock.js';
 import { CoreHarness, EIGHT_CPU_TYPE, heartbeatOf, job, task, TERM } from './emulators/core-harness.js';
 
 const MAX_BYTES = 64 * 1024;
@@ -256,3 +262,110 @@
   expect(operations.filter((op) => op === 'stop')).toHaveLength(250);
   expect(operations.slice(-3)).toEqual(['start', 'start', 'start']);
 });
+
+describe('messages between controllers', () => {
+  const readFrames = (bytes: Uint8Array): IntakeMessage[] => {
+    const found: IntakeMessage[] = [];
+    // The reader rejects frames over the limit.
+    expect(new PeerMessageReader((message) => found.push(message)).push(bytes)).toEqual([]);
+    return found;
+  };
+  const command = fc.record({
+    op: fc.constantFrom('start', 'forget' as const),
+    job: fc.oneof(fc.constant('req-000002'), fc.string({ unit: 'grapheme', minLength: 1, maxLength: 300 })),
+    task: fc.nat(99_999),
+    attempt: fc.nat(2 ** 31),
+  }) as fc.Arbitrary<WorkerCommand>;
+
+  test('carry every answer and every name in frames within the limit', async () => {
+    const virtualClock = new VirtualClock();
+    const clock = new ProcessClock(virtualClock, 1, 0);
+    await fc.assert(
+      fc.asyncProperty(
+        fc.array(fc.array(command, { maxLength: 8 }), { maxLength: 40 }),
+        fc.nat(1200),
+        fc.boolean(),
+        async (commandLists, names, hasLargeAnswer) => {
+          const harness = new CoreHarness();
+          const sent: AnswersMessage[] = [];
+          const shared = new SharedHeartbeats(contextOf(harness, clock), {
+            candidates: () => [{ node: 'n-1', zone: 'b' }],
+            isAccepting: () => true,
+            send: (_to, message) => message.kind === 'answers' && sent.push(message) > 0,
+            submitHeartbeat: (heartbeat, _ageMs, answer) => {
+              const index = heartbeat.sequence;
+              const commands = commandLists[index] ?? [];
+              const large = Array.from({ length: 1100 }, (_, i) => ({ ...startOf('req-000002'), task: i }));
+              answer({
+                isAccepted: true,
+                needsAttention: false,
+                commands: hasLargeAnswer && index === 0 ? large : commands,
+              });
+            },
+          });
+          shareAlways(harness);
+          shared.sendSnapshots();
+          const machines = Array.from({ length: names }, (_, i) => `machine-with-a-long-name-${i}`);
+          const keepalives = machines.map((machine) => ({ machine, agentEpoch: 1, sequence: 1, ageMs: 0 }));
+          const heartbeats = commandLists.map((_, i) => ({ reference: i, heartbeat: heartbeatOf('m', i) }));
+          const envelope = { node: 'n-1', incarnation: 'y', term: TERM, sentAt: clock.epochMs() };
+          shared.receive({ kind: 'heartbeats', ...envelope, heartbeats, keepalives });
+          shared.announceAttention(machines);
+          await virtualClock.runUntil(virtualClock.now + 1);
+          shared.sendSnapshots();
+          const received = sent.flatMap((message) => readFrames(encodeIntake(message)));
+          const answers = received.flatMap((one) => (one.kind === 'answers' ? one.answers : []));
+          expect(answers.map(({ reference }: ForwardedAnswer) => reference)).toEqual(
+            heartbeats.map(({ reference }) => reference),
+          );
+          const attention = received.flatMap((one) =>
+            one.kind === 'answers' && !one.isSnapshot ? one.attention : [],
+          );
+          expect(attention).toEqual(machines);
+        },
+      ),
+      { seed: 59, numRuns: 40 },
+    );
+  });
+
+  test('carry a snapshot of all machines beside a large answer', () => {
+    const commands = Array.from({ length: 1150 }, (_, i) => ({ ...startOf('req-000002'), task: i }));
+    const answers = [{ reference: 0, isAccepted: true, needsAttention: false, commands }];
+    const attention = Array.from({ length: 1800 }, (_, i) => `machine-with-a-long-name-${i}`);
+    const message: AnswersMessage = { ...SNAPSHOT, answers, attention };
+    const bytes = encodeIntake(message);
+    expect(bytes.length).toBeGreaterThan(MAX_FRAME_BYTES);
+    expect(readFrames(bytes)).toEqual([message]);
+  });
+});
+
+const startOf = (id: string): WorkerCommand => ({ op: 'start', job: id, task: 0, attempt: 1 });
+
+const SNAPSHOT: AnswersMessage = {
+  kind: 'answers',
+  node: 'n-0',
+  incarnation: 'x',
+  term: TERM,
+  sentAt: 5,
+  number: 3,
+  answers: [],
+  attention: [],
+  isSnapshot: true,
+  isSharing: true,
+  viewConfirmedAt: 4,
+  redirect: null,
+};
+
+function shareAlways(harness: CoreHarness): void {
+  const policy = { ...harness.state.config.policy, sharedHeartbeatsMinMachines: 0 };
+  Object.assign(harness.state, { config: { ...harness.state.config, policy } });
+}
+
+function contextOf(harness: CoreHarness, clock: ProcessClock): ControllerContext {
+  return {
+    settings: { host_name: 'n-0', others: [] },
+    timing: harness.state.config.timing,
+    ports: { clock, incarnation: 'x', log: { info: () => undefined } },
+    commands: { state: harness.state, push: () => undefined },
+  } as unknown as ControllerContext;
+}
--- a/test/wire.test.ts
+++ b/test/wire.test.ts
@@ -2,8 +2,15 @@
 import fc from 'fast-check';
 import { expect, test } from 'vitest';
 import { commandBytes } from '../src/core/message-sizes.js';
-import type { WorkerCommand } from '../src/core/types.js';
-import { encodeStatus, MAX_FRAME_BYTES, PeerMessageReader, type PeerStatus } from '../src/wire/peers.js';
+import type { Heartbeat, ReportedTask, WorkerCommand } from '../src/core/types.js';
+import { answerBytes, forwardedHeartbeatBytes } from '../src/wire/intake.js';
+import {
+  encodeIntake,
+  encodeStatus,
+  MAX_FRAME_BYTES,
+  PeerMessageReader,
+  type PeerStatus,
+} from '../src/wire/peers.js';
 import { parseCatalog, parseMachinePage, parseProvisioned } from '../src/wire/cloud.js';
 import { parseChanges, parsePage, parseRevision } from '../src/wire/key-value-store.js';
 import { encodeDirectCommands, encodeReply, parseHeartbeat, parseTaskName } from '../src/wire/workers.js';
@@ -130,3 +137,53 @@
     { seed: 59 },
   );
 });
+
+test('the size that is counted for an answer or a heartbeat is no less than what it takes between controllers', () => {
+  const envelope = { node: 'n-0', incarnation: 'x', term: 7, sentAt: 5 };
+  const answers = {
+    kind: 'answers',
+    ...envelope,
+    number: 2 ** 31,
+    attention: [],
+    isSnapshot: false,
+  } as const;
+  const answersMessage = { ...answers, isSharing: true, viewConfirmedAt: 0, redirect: null };
+  fc.assert(
+    fc.property(
+      fc.array(anyCommand, { maxLength: 60 }),
+      fc.integer({ min: 0, max: 2 ** 32 - 1 }),
+      (drawn, reference) => {
+        const commands = drawn.map((one) => ({ ...one, attempt: one.attempt % 2 ** 32 }));
+        const startLease = { remainingMs: 2 ** 31, viewRevision: 2 ** 52 };
+        const answer = { reference, isAccepted: true, needsAttention: true, commands, startLease };
+        const withAnswer = encodeIntake({ ...answersMessage, answers: [answer] }).length;
+        const without = encodeIntake({ ...answersMessage, answers: [] }).length;
+        expect(withAnswer - without).toBeLessThanOrEqual(answerBytes(answer));
+        const tasks: ReportedTask[] = commands.map(({ job, task, attempt }) => ({
+          job,
+          task,
+          attempt,
+          stage: 'exited',
+          exit: 'unknown',
+        }));
+        const heartbeat: Heartbeat = {
+          machine: 'vm-1',
+          address: '10.0.0.1:1',
+          type: 'g8',
+          zone: 'a',
+          spot: true,
+          agentEpoch: 2 ** 52,
+          sequence: 2 ** 52,
+          token: 2 ** 52,
+          terminationNoticeS: 1.5,
+          tasks,
+        };
+        const heartbeats = { kind: 'heartbeats', ...envelope, keepalives: [] } as const;
+        const withHeartbeat = encodeIntake({ ...heartbeats, heartbeats: [{ reference, heartbeat }] }).length;
+        const empty = encodeIntake({ ...heartbeats, heartbeats: [] }).length;
+        expect(withHeartbeat - empty).toBeLessThanOrEqual(forwardedHeartbeatBytes(heartbeat));
+      },
+    ),
+    { seed: 59 },
+  );
+});
