A transaction with the records of several large chunks stays within 64 KiB

Cause: a draft took one more record as long as any of its 48 KiB were left, whatever the record's size; three records of 22 KiB made a request of 66,587 bytes. The store rejects it, and the leader then writes one job at a time.

Change: a record that does not fit beside the others waits for the next transaction.

Evidence: "a transaction with the records of several large chunks …" (test/message-limits.test.ts) failed before.

--- a/src/core/persistence/transaction-draft.ts
+++ b/src/core/persistence/transaction-draft.ts
@@ -175,6 +175,8 @@
       withdrawUncommittedStarts(state, job, chunk, now);
       continue;
     }
+    // A record that does not fit beside the others waits for the next transaction.
+    if (draft.mutations.length > 0 && bytes + RECORD_OVERHEAD_BYTES > draft.remainingBytes) return;
     draft.remainingBytes -= bytes + RECORD_OVERHEAD_BYTES;
     // The precondition on the job's own revision: once a cancellation has been confirmed to the user,
     // no start of the job can be committed any more.
--- a/test/message-limits.test.ts
+++ b/test/message-limits.test.ts
@@ -8,6 +8,7 @@
 import type { ControllerContext } from '../src/controller/context.js';
 import type { Effect } from '../src/core/effects.js';
 import type { Claim, JobSpec, MachineType, ReportedTask, WorkerCommand } from '../src/core/types.js';
+import { encodeTransaction } from '../src/wire/key-value-store.js';
 import { encodeIntake, MAX_FRAME_BYTES, PeerMessageReader } from '../src/wire/peers.js';
 import type { AnswersMessage, ForwardedAnswer, IntakeMessage } from '../src/wire/intake.js';
 import { encodeReply, parseHeartbeat } from '../src/wire/workers.js';
@@ -369,3 +370,17 @@
     commands: { state: harness.state, push: () => undefined },
   } as unknown as ControllerContext;
 }
+
+test('a transaction with the records of several large chunks stays within 64 KiB', () => {
+  const harness = harnessOf();
+  for (let i = 0; i < 3; i += 1) harness.deliverHeartbeat(heartbeatOf(`${'machine-'.repeat(5)}${i}`, 1));
+  const jobs = [1, 2, 3].map((i) => tinyJob({ id: `req-00000${i}`, tasks: 350 }));
+  const effects = harness.stepAndCommit(
+    ...jobs.map((value, i) => ({ kind: 'jobAdded', job: { value, modRevision: 200 + i } }) as const),
+  );
+  const transactions = effects.flatMap((effect) =>
+    effect.kind === 'commit' ? [encodeTransaction(effect.transaction)] : [],
+  );
+  expect(transactions.join('').length).toBeGreaterThan(MAX_BYTES);
+  for (const body of transactions) expect(Buffer.byteLength(body)).toBeLessThanOrEqual(MAX_BYTES);
+});
