Lines to users and termination requests are bounded in bytes

Cause: a refused submission names its unknown team, and a text of invalid UTF-8 grows to three times its size when it is sent back; a termination request was bounded by 100 names of any length.

Change: the one function that writes responses replaces a body with a longer line; the names of a termination request are counted in bytes, and the other machines follow with the next request.

Evidence: "no line of a response to a user …" and "a termination request stays …" (test/message-limits.test.ts) failed before.

--- a/src/adapters/public-server.ts
+++ b/src/adapters/public-server.ts
@@ -23,6 +23,7 @@
  * machine that a controller of an earlier version has given too many tasks may be longer, and refusing it loses them all.
  */
 const MAX_HEARTBEAT_BYTES = 1.5 * MAX_MESSAGE_BYTES;
+const TOO_LONG_BODY = '{"error":"the response is too long"}';
 
 /** The operations that the port exposes; a controller node implements them. */
 export interface PublicApi {
@@ -38,8 +39,14 @@
   readonly malformed: Pick<EventCounter, 'count'>;
 }
 
-function sendJson(response: ServerResponse, status: number, body: string, retryAfterS = 1): void {
+/** Whether no line of a body exceeds the limit on lines in responses. */
+const hasBoundedLines = (body: string): boolean =>
+  Buffer.byteLength(body) <= MAX_MESSAGE_BYTES ||
+  body.split('\n').every((line) => Buffer.byteLength(line) <= MAX_MESSAGE_BYTES);
+
+function sendJson(response: ServerResponse, status: number, text: string, retryAfterS = 1): void {
   if (response.writableEnded || response.destroyed) return;
+  const body = hasBoundedLines(text) ? text : TOO_LONG_BODY;
   const headers: Record<string, string | number> = {
     'Content-Type': 'application/json',
     'Content-Length': Buffer.byteLength(body),
--- a/src/core/autoscaling/scale-in.ts
+++ b/src/core/autoscaling/scale-in.ts
@@ -3,6 +3,7 @@
 import { markForTermination } from '../fleet/machines.js';
 import { TerminationReason } from '../fleet/termination-reasons.js';
 import { log } from '../log.js';
+import { countWithin, listedNameBytes, MAX_LIST_BYTES } from '../message-sizes.js';
 import { isExitDurable, type Machine, type Now } from '../model.js';
 import type { CoreState } from '../state.js';
 
@@ -35,19 +36,26 @@
 
 /** Requests the termination of machines that are marked for it, or have been idle for too long. */
 export function scaleIn(state: CoreState, now: Now, effects: Effect[]): void {
-  const names: string[] = [];
+  const due: Machine[] = [];
   for (const machine of state.machines.values()) {
     if (machine.terminationReason === null && hasIdledTooLong(state, machine, now))
       markForTermination(machine, TerminationReason.idle);
     if (machine.terminationReason === null || isTerminationPending(state, machine, now)) continue;
+    due.push(machine);
+    if (due.length === MAX_TERMINATIONS_PER_REQUEST) break;
+  }
+  const terminated = due.slice(
+    0,
+    countWithin(due, ({ name }) => listedNameBytes(name), MAX_LIST_BYTES),
+  );
+  for (const machine of terminated) {
     machine.terminationRequestedAt = now.monotonicMs;
-    names.push(machine.name);
     log(effects, 'machine terminated', {
       machine: machine.name,
       reason: machine.terminationReason,
       tasks: machine.claims.size,
     });
-    if (names.length === MAX_TERMINATIONS_PER_REQUEST) break;
   }
-  if (names.length > 0) effects.push({ kind: 'terminate', machines: names });
+  if (terminated.length > 0)
+    effects.push({ kind: 'terminate', machines: terminated.map(({ name }) => name) });
 }
--- a/src/core/message-sizes.ts
+++ b/src/core/message-sizes.ts
@@ -14,6 +14,8 @@
 const MAX_TASK_DIGITS = 5;
 /** Digits of an attempt number. */
 const MAX_ATTEMPT_DIGITS = 10;
+/** Quotation marks and separator of a text in a list. */
+const LIST_SEPARATOR_BYTES = 3;
 /** A command to a worker, besides its names and numbers. */
 const COMMAND_BYTES = 64;
 
@@ -35,6 +37,9 @@
 export const reportedTaskBytes = ({ job, task, attempt }: ReportedTask): number =>
   REPORTED_TASK_BYTES + jsonTextBytes(job) + digits(task) + digits(attempt);
 
+/** Bytes that a name takes in a list. */
+export const listedNameBytes = (name: string): number => jsonTextBytes(name) + LIST_SEPARATOR_BYTES;
+
 /** Bytes that a command takes in a message to a worker. */
 export function commandBytes(command: WorkerCommand): number {
   const { job, task, attempt } = command;
@@ -43,7 +48,7 @@
 }
 
 /** How many of the items, from the first, fit into `maxBytes`; at least one, unless there is none. */
-function countWithin<T>(items: readonly T[], bytesOf: (item: T) => number, maxBytes: number): number {
+export function countWithin<T>(items: readonly T[], bytesOf: (item: T) => number, maxBytes: number): number {
   let bytes = 0;
   let count = 0;
   for (const item of items) {
--- a/test/message-limits.test.ts
+++ b/test/message-limits.test.ts
@@ -8,6 +8,7 @@
 import type { ControllerContext } from '../src/controller/context.js';
 import type { Effect } from '../src/core/effects.js';
 import type { Claim, JobSpec, MachineType, ReportedTask, WorkerCommand } from '../src/core/types.js';
+import { encodeTerminateRequest } from '../src/wire/cloud.js';
 import { encodeTransaction } from '../src/wire/key-value-store.js';
 import { encodeIntake, MAX_FRAME_BYTES, PeerMessageReader } from '../src/wire/peers.js';
 import type { AnswersMessage, ForwardedAnswer, IntakeMessage } from '../src/wire/intake.js';
@@ -230,6 +231,18 @@
   });
 }
 
+test('no line of a response to a user exceeds 64 KiB, whatever the request contains', async () => {
+  const api = {
+    users: { submit: () => Promise.resolve({ status: 422, body: { error: 'x'.repeat(MAX_BYTES) } }) },
+    admission: { admit: () => null, release: () => undefined, countRefusal: () => 1 },
+    latencies: { record: () => undefined },
+    malformed: { count: () => undefined },
+  } as unknown as PublicApi;
+  const { status, text } = await call(api, 'POST', '/v2/runs', '{}');
+  expect(status).toBe(422);
+  for (const line of text.split('\n')) expect(Buffer.byteLength(line)).toBeLessThanOrEqual(MAX_BYTES);
+});
+
 const longName = 'é"'.repeat(100);
 const stopped = (name: string, count: number): ReportedTask[] =>
   Array.from({ length: count }, (_, i) => ({ ...task('x/0', 1, 'running'), job: name, task: i }));
@@ -384,3 +397,26 @@
   expect(transactions.join('').length).toBeGreaterThan(MAX_BYTES);
   for (const body of transactions) expect(Buffer.byteLength(body)).toBeLessThanOrEqual(MAX_BYTES);
 });
+
+test('a termination request stays within 64 KiB with the longest names, and the others follow', () => {
+  const harness = new CoreHarness();
+  const names = Array.from({ length: 150 }, (_, i) => `${'n'.repeat(900)}-${i}`);
+  const listed = names.map((name) => ({
+    name,
+    address: '',
+    type: 'eight',
+    zone: 'a',
+    spot: true,
+    stage: 'failed' as const,
+    ageS: 1,
+  }));
+  const terminated: string[] = [];
+  const effects = harness.step({ kind: 'machinesListed', machines: listed, requestedAt: harness.now });
+  for (let i = 0; i < 4; i += 1) effects.push(...harness.step({ kind: 'tick' }));
+  for (const effect of effects) {
+    if (effect.kind !== 'terminate') continue;
+    expect(Buffer.byteLength(encodeTerminateRequest(effect.machines))).toBeLessThanOrEqual(MAX_BYTES);
+    terminated.push(...effect.machines);
+  }
+  expect(terminated).toEqual(names);
+});
