--- a/lab/emulator/cloud.ts
+++ b/lab/emulator/cloud.ts
@@ -151,7 +151,7 @@
     const { socket, method } = request;
     const url = new URL(request.url ?? '/', 'http://cloud');
     response.on('finish', () => this.meter.note(`${method ?? ''} ${url.pathname}`, bytesSince(socket)));
-    const body = (method === 'POST' ? await readJson(request) : {}) as Record<string, unknown>;
+    const body = (method === 'POST' ? (await readJson(request)).json : {}) as Record<string, unknown>;
     if (!this.#withinRate()) answerJson(response, 429, { error: 'too many requests' });
     else if (url.pathname === '/catalog') answerJson(response, 200, { benches: [this.#machineType()] });
     else if (url.pathname === '/machines' && method === 'GET') answerJson(response, 200, this.#page(url));
--- a/lab/emulator/http.ts
+++ b/lab/emulator/http.ts
@@ -39,20 +39,28 @@
   return now - before;
 }
 
-/** Reads a whole body as JSON; undefined if it is not valid JSON or the connection fails. */
-export function readJson(message: IncomingMessage): Promise<unknown> {
+/** A body that was read whole; `json` is undefined if it is not valid JSON or the connection failed. */
+export interface ReadBody {
+  readonly json: unknown;
+  readonly bytes: number;
+}
+
+/** Reads a whole body as JSON. */
+export function readJson(message: IncomingMessage): Promise<ReadBody> {
   return new Promise((resolve) => {
     const parts: Buffer[] = [];
-    message.on('data', (part: Buffer) => parts.push(part));
-    message.on('end', () => {
+    const end = (): void => {
+      const body = Buffer.concat(parts);
       try {
-        resolve(JSON.parse(Buffer.concat(parts).toString('utf8')));
+        resolve({ json: JSON.parse(body.toString('utf8')), bytes: body.length });
       } catch {
-        resolve(undefined);
+        resolve({ json: undefined, bytes: body.length });
       }
-    });
-    message.on('error', () => resolve(undefined));
-    message.on('close', () => resolve(undefined));
+    };
+    message.on('data', (part: Buffer) => parts.push(part));
+    message.on('end', end);
+    message.on('error', () => resolve({ json: undefined, bytes: 0 }));
+    message.on('close', () => resolve({ json: undefined, bytes: 0 }));
   });
 }
 
@@ -69,7 +77,11 @@
 export interface JsonAnswer {
   readonly status: number;
   readonly body: unknown;
+  /** Bytes that the connection carried for the request and the response. */
   readonly bytes: number;
+  /** Sizes of the two bodies. */
+  readonly requestBytes: number;
+  readonly responseBytes: number;
 }
 
 /** A client of one host that keeps its connections open. */
@@ -96,12 +108,13 @@
   call(method: string, path: string, body: unknown, timeoutMs: number): Promise<JsonAnswer> {
     return new Promise((resolve) => {
       let bytes = 0;
+      let responseBytes = 0;
       let settled = false;
       const settle = (status: number, answer: unknown): void => {
         if (settled) return;
         settled = true;
         clearTimeout(timer);
-        resolve({ status, body: answer, bytes });
+        resolve({ status, body: answer, bytes, requestBytes: Buffer.byteLength(text ?? ''), responseBytes });
       };
       const text = body === undefined ? null : JSON.stringify(body);
       const headers =
@@ -113,7 +126,8 @@
         const { socket } = response;
         void readJson(response).then((answer) => {
           bytes = bytesSince(socket);
-          settle(response.statusCode ?? 0, answer);
+          responseBytes = answer.bytes;
+          settle(response.statusCode ?? 0, answer.json);
         });
       });
       const timer = setTimeout(() => {
--- a/lab/emulator/state-service.ts
+++ b/lab/emulator/state-service.ts
@@ -93,7 +93,7 @@
     const url = new URL(request.url ?? '/', 'http://state');
     const kind = `${request.method ?? ''} ${url.pathname.split('/')[1] ?? ''}`;
     response.on('finish', () => this.#meter.note(kind, bytesSince(socket)));
-    const body = request.method === 'POST' ? await readJson(request) : undefined;
+    const body = request.method === 'POST' ? (await readJson(request)).json : undefined;
     const address = socket.localAddress ?? '';
     if (url.pathname === '/watch' && request.method === 'GET') this.#watch(url, address, response);
     else if (this.#isRefused(address)) answerJson(response, 503, { error: 'trouble' });
--- a/lab/emulator/worker-host.ts
+++ b/lab/emulator/worker-host.ts
@@ -2,12 +2,15 @@
 import { createServer } from 'node:http';
 import { createServer as createListener, type Server } from 'node:net';
 import { parseAddress } from '../../src/config/settings.js';
+import { monotonicMs } from '../clock.js';
 import type { JobDescription, LabEvent } from '../events.js';
 import type { FromWorkerHost, ToWorkerHost, WorkerHostSetup } from '../messages.js';
 import { hashShare, seededDraw } from '../random.js';
 import { HollowWorker, type MachineIdentity, type WorkerContext } from './hollow-worker.js';
 import { answerJson, bytesSince, JsonClient, readJson, TrafficMeter } from './http.js';
 
+/** PROTOCOL's limit on a request's body, and on a line of a response to a worker. */
+const MAX_MESSAGE_BYTES = 64 * 1024;
 const EVENTS_INTERVAL_MS = 100;
 const SAMPLE_INTERVAL_MS = 1000;
 const MICROSECONDS_PER_MS = 1000;
@@ -27,16 +30,19 @@
   readonly #http = createServer((request, response) => {
     const worker = this.#byAddress.get(request.socket.localAddress ?? '');
     response.on('finish', () => this.#meter.note('direct', bytesSince(request.socket)));
-    void readJson(request).then((body) => {
-      if (worker === undefined) response.destroy();
-      else
-        worker.whenAwake(() => {
-          if (request.url === '/status') answerJson(response, 200, worker.body());
-          else {
-            const { status, heartbeat } = worker.direct(body);
-            answerJson(response, status, heartbeat);
-          }
-        });
+    void readJson(request).then(({ json, bytes }) => {
+      if (worker === undefined) {
+        response.destroy();
+        return;
+      }
+      worker.whenAwake(() => {
+        if (request.url === '/status') answerJson(response, 200, worker.body());
+        else {
+          this.#checkSize(worker.identity.name, 'direct command', bytes);
+          const { status, heartbeat } = worker.direct(json);
+          answerJson(response, status, heartbeat);
+        }
+      });
     });
   });
   #events: LabEvent[] = [];
@@ -70,6 +76,17 @@
     setInterval(() => this.#sendSample(), SAMPLE_INTERVAL_MS);
   }
 
+  /** Whether a message is within PROTOCOL's limit; if not, the violation is reported. */
+  #checkSize(
+    worker: string,
+    message: Extract<LabEvent, { kind: 'oversized' }>['message'],
+    bytes: number,
+  ): boolean {
+    if (bytes <= MAX_MESSAGE_BYTES) return true;
+    this.#events.push({ kind: 'oversized', at: monotonicMs(), worker, message, bytes });
+    return false;
+  }
+
   handle(message: Exclude<ToWorkerHost, { kind: 'setup' }>): void {
     switch (message.kind) {
       case 'job':
@@ -97,13 +114,13 @@
       body: unknown,
       timeoutMs: number,
     ): Promise<{ status: number; body: unknown }> => {
-      const answer = await (clients.get(controller)?.call('POST', '/v1/report', body, timeoutMs) ?? {
-        status: 0,
-        body: undefined,
-        bytes: 0,
-      });
+      const answer = await clients.get(controller)?.call('POST', '/v1/report', body, timeoutMs);
+      if (answer === undefined) return { status: 0, body: undefined };
       this.#meter.note(answer.status === 421 ? 'redirect' : 'report', answer.bytes);
-      return answer;
+      this.#checkSize(machine.name, 'heartbeat', answer.requestBytes);
+      // A worker does not accept an answer that is too long.
+      const isAccepted = this.#checkSize(machine.name, 'answer', answer.responseBytes);
+      return isAccepted ? answer : { status: 0, body: undefined };
     };
     const draw = seededDraw(this.setup.seed + Math.floor(hashShare(machine.name) * 2 ** 31));
     const worker = new HollowWorker(machine, this.#context, send, draw);
--- a/lab/events.ts
+++ b/lab/events.ts
@@ -33,6 +33,14 @@
   /** The task no longer runs on the machine; `leaseExpired`: it was killed because the worker's lease expired. */
   | (TaskFields & { readonly kind: 'off'; readonly done: boolean; readonly leaseExpired: boolean })
   | { readonly kind: 'submitting'; readonly at: number; readonly job: JobDescription }
+  /** A worker sent or received a message of more bytes than PROTOCOL allows. */
+  | {
+      readonly kind: 'oversized';
+      readonly at: number;
+      readonly worker: string;
+      readonly message: 'heartbeat' | 'answer' | 'direct command';
+      readonly bytes: number;
+    }
   /** A controller answered a submission. */
   | { readonly kind: 'submitted'; readonly at: number; readonly job: string; readonly status: number }
   /** A poll of a job's status ended; the stage is null unless the status is 200. */
--- a/lab/measure/rules.ts
+++ b/lab/measure/rules.ts
@@ -13,7 +13,12 @@
   | 'forgotten'
   | 'not_done'
   | 'went_back'
-  | 'nothing_ran';
+  | 'nothing_ran'
+  /** A message to or from a worker exceeds PROTOCOL's limit. */
+  | 'too_long'
+  /** In a scenario that must complete: a task stopped before its end, or a job did not end. */
+  | 'task_lost'
+  | 'unfinished';
 
 /** One violation of a rule. */
 export interface Violation {
@@ -26,6 +31,8 @@
   readonly cancelMs: number;
   /** CPUs that a team's tasks may use at the same time; 0 means no limit. */
   limitOf(team: string): number;
+  /** No task may be lost, and every job that is not cancelled has to be done in the end. */
+  readonly mustComplete?: boolean;
 }
 
 interface JobRecord {
@@ -81,6 +88,8 @@
     this.#applyUntil(Infinity);
     this.#checkCancelled(time);
     if (this.started === 0) this.#addViolation('nothing_ran', 'no task was started');
+    if (this.settings.mustComplete === true)
+      for (const id of this.unfinished()) this.#addViolation('unfinished', `${id} is not done`);
   }
 
   /** Ids of the accepted jobs without a cancel request that have tasks left to complete. */
@@ -109,6 +118,10 @@
       });
       return;
     }
+    if (event.kind === 'oversized') {
+      this.#addViolation('too_long', `${event.message} of ${event.worker}: ${event.bytes} bytes`);
+      return;
+    }
     const record = this.#jobs.get(event.job);
     if (record === undefined) {
       this.#addViolation('wrong_place', `event ${event.kind} of ${event.job}, which was not submitted`);
@@ -177,7 +190,11 @@
     const { job, on, done } = record;
     if (on.get(event.task) === event.worker) on.delete(event.task);
     this.#teamCpus.set(job.team, (this.#teamCpus.get(job.team) ?? 0) - job.cpus);
-    if (!event.done) return;
+    if (!event.done) {
+      if (this.settings.mustComplete === true && !record.cancelRequested)
+        this.#addViolation('task_lost', `${job.id}/${event.task} stopped on ${event.worker}`);
+      return;
+    }
     done.add(event.task);
     this.completed += 1;
   }
--- a/lab/run.ts
+++ b/lab/run.ts
@@ -106,6 +106,7 @@
     );
     this.#rules = new RuleChecker({
       cancelMs: 1000 * scenario.cancelS,
+      mustComplete: scenario.mustComplete,
       limitOf: (team) => limits[Number(team.replace('team-', '')) - 1] ?? 0,
     });
     this.#latencies = new StartLatencies(() => this.#startedAt + 1000 * scenario.warmUpS);
--- a/lab/scenario.ts
+++ b/lab/scenario.ts
@@ -82,6 +82,8 @@
   /** Longest time to wait for open jobs after the load has ended, in seconds. */
   drainS: nonNegative,
   faults: v.optional(v.array(fault), []),
+  /** No task may be lost, and every job that is not cancelled has to be done in the end. */
+  mustComplete: v.optional(v.boolean(), false),
 });
 
 /** A validated scenario. */
--- a/test/lab.test.ts
+++ b/test/lab.test.ts
@@ -92,6 +92,20 @@
   });
 });
 
+test('a message over the limit is a violation, and so is a lost task where a scenario must complete', () => {
+  const lost: readonly LabEvent[] = [
+    ...CORRECT.slice(0, 4),
+    { kind: 'oversized', at: 15, worker: 'vm-1', message: 'answer', bytes: 70_000 },
+    off(20, 0, false),
+    off(21, 1, true, 'vm-2'),
+  ];
+  expect(rulesBroken(lost)).toEqual(['too_long']);
+  const checker = new RuleChecker({ cancelMs: 100, limitOf: () => 8, mustComplete: true });
+  checker.add(lost);
+  checker.finish(10_000);
+  expect(checker.violations.map(({ rule }) => rule)).toEqual(['too_long', 'task_lost', 'unfinished']);
+});
+
 test('a task cancelled just before the end of a run may run for the cancel timeout and no longer', () => {
   const checker = new RuleChecker({ cancelMs: 100, limitOf: () => 8 });
   checker.add([...CORRECT.slice(0, 4), ...CANCELLED]);
