An answer to forwarded heartbeats states for which incarnation of the follower it is

What callers would see: a task on two machines. A follower that was back within a second could pass the start that was meant for one machine to another.

Cause: the references of forwarded heartbeats count from 1 in each process, and a leader's answer did not say for which incarnation of the follower it is. If the leader answers a heartbeat of the former incarnation (its commit was slow, or it had stood still) while the new one awaits the same reference, the new one passes the answer on.

Change: messages with answers state the addressee's incarnation, and another incarnation drops the answers; the references of an incarnation start from its hash, which holds beside a leader of a version without the field.

--- a/src/controller/heartbeat-intake.ts
+++ b/src/controller/heartbeat-intake.ts
@@ -5,6 +5,7 @@
  * given only within the authority window of the leader's confirmed view, and only for machines for which the leader
  * has no command.
  */
+import { createHash } from 'node:crypto';
 import type { Clock } from '../adapters/clock.js';
 import { withoutStarts, type Keepalive } from '../core/fleet/index.js';
 import { MAX_TRACKED_MACHINES } from '../core/limits.js';
@@ -88,6 +89,17 @@
 const MAX_FORWARDED_BYTES = 60 * 1024;
 const MAX_KEEPALIVES_IN_MESSAGE = 1000;
 
+/** Number of distinct references, which are 32-bit integers. */
+const REFERENCES = 2 ** 32;
+
+/**
+ * The first reference of an incarnation: its hash. A leader of a version that does not state the addressee of its answers
+ * may answer heartbeats of an earlier incarnation, whose references must not be in use again.
+ */
+function firstReference(incarnation: string): number {
+  return createHash('sha256').update(incarnation).digest().readUInt32BE();
+}
+
 const isSameTask = (one: ReportedTask, other: ReportedTask | undefined): boolean =>
   other !== undefined &&
   one.stage === other.stage &&
@@ -105,7 +117,7 @@
   #view: LeaderView | null = null;
   readonly #known = new Map<string, KnownWorker>();
   readonly #pending = new Map<number, PendingHeartbeat>();
-  #nextReference = 1;
+  #nextReference: number;
   #heartbeats: ForwardedHeartbeat[] = [];
   #keepalives: { readonly keepalive: Omit<Keepalive, 'ageMs'>; readonly at: number }[] = [];
   #isFlushScheduled = false;
@@ -113,7 +125,9 @@
   forwarded = 0;
   answered = 0;
 
-  constructor(private readonly context: HeartbeatIntakeContext) {}
+  constructor(private readonly context: HeartbeatIntakeContext) {
+    this.#nextReference = firstReference(context.incarnation);
+  }
 
   /** Whether this node accepts heartbeats for the leader that it follows. */
   get isActive(): boolean {
@@ -252,7 +266,8 @@
   }
 
   #enqueue(heartbeat: Heartbeat, respond: RespondToWorker): void {
-    const reference = this.#nextReference++;
+    const reference = this.#nextReference;
+    this.#nextReference = (reference + 1) % REFERENCES;
     this.#pending.set(reference, { heartbeat, respond, forwardedAt: this.context.clock.monotonicMs() });
     this.#heartbeats.push({ reference, heartbeat });
     this.#flushSoon();
@@ -314,6 +329,8 @@
   /** Processes a message from the leader, whose sender and term the caller has checked. */
   receive(message: AnswersMessage): void {
     if (!this.#updateView(message)) return;
+    // The answers are for heartbeats that an earlier incarnation of this node forwarded.
+    if (message.addressee !== '' && message.addressee !== this.context.incarnation) return;
     for (const answer of message.answers) {
       const { reference, isAccepted, needsAttention, commands } = answer;
       const pending = this.#pending.get(reference);
--- a/src/controller/shared-heartbeats.ts
+++ b/src/controller/shared-heartbeats.ts
@@ -15,6 +15,7 @@
 import {
   answerBytes,
   answersBytes,
+  type AnswersMessage,
   type ForwardedAnswer,
   type IntakeMessage,
   type HeartbeatsMessage,
@@ -39,15 +40,20 @@
   submitHeartbeat(
     heartbeat: Heartbeat,
     ageMs: number,
-    answer: (answer: Omit<UnsentAnswer, 'reference'>) => void,
+    answer: (answer: Omit<UnsentAnswer, 'reference' | 'addressee'>) => void,
   ): void;
 }
 
 /** An answer that has not been sent yet; its starts may be sent while their lease is valid. */
 interface UnsentAnswer extends Omit<ForwardedAnswer, 'startLease'> {
   readonly startLease?: StartLease | undefined;
+  /** Incarnation of the follower that forwarded the heartbeat. */
+  readonly addressee: string;
 }
 
+/** Answers of one message, all to the same incarnation of a follower. */
+type AnswerBatch = Pick<AnswersMessage, 'answers' | 'addressee'>;
+
 interface Outbox {
   number: number;
   answers: UnsentAnswer[];
@@ -57,7 +63,10 @@
 /** Messages that were in transit for more than this share of a worker's lease are ignored and do not renew it. */
 const MAX_AGE_SHARE = 0.5;
 /** The answer as it is sent at `now` (monotonic time in ms): without starts whose lease is over. */
-function toForwardedAnswer({ startLease, ...answer }: UnsentAnswer, now: number): ForwardedAnswer {
+function toForwardedAnswer(
+  { startLease, addressee: _, ...answer }: UnsentAnswer,
+  now: number,
+): ForwardedAnswer {
   if (startLease === undefined) return answer;
   const { validUntil, viewRevision } = startLease;
   const remainingMs = Math.floor(validUntil - now);
@@ -129,7 +138,7 @@
     for (const { reference, heartbeat } of message.heartbeats) {
       this.#assignFollower(heartbeat.machine, message.node);
       this.context.submitHeartbeat(heartbeat, ageMs, (answer) =>
-        this.#answer(message.node, { reference, ...answer }),
+        this.#answer(message.node, { reference, addressee: message.incarnation, ...answer }),
       );
     }
   }
@@ -220,25 +229,28 @@
 
   #flush(node: string, outbox: Outbox): void {
     while (outbox.answers.length > 0 || outbox.attention.length > 0) {
-      const answers = this.#takeAnswers(node, outbox);
-      const count = portionLength(outbox.attention, nameBytes, 0, answersBytes(answers));
-      this.#send(node, outbox, { answers, attention: outbox.attention.splice(0, count) });
+      const batch = this.#takeAnswers(node, outbox);
+      const count = portionLength(outbox.attention, nameBytes, 0, answersBytes(batch.answers));
+      this.#send(node, outbox, { ...batch, attention: outbox.attention.splice(0, count) });
     }
   }
 
-  #takeAnswers(node: string, { answers }: Outbox): ForwardedAnswer[] {
+  /** Takes the answers of the next message, as many as fit and are for one incarnation of the follower. */
+  #takeAnswers(node: string, { answers }: Outbox): AnswerBatch {
     const now = this.controller.ports.clock.monotonicMs();
-    const taken = answers.splice(0, portionLength(answers, answerBytes));
+    const addressee = answers[0]?.addressee ?? '';
+    const nextAddressee = answers.findIndex((answer) => answer.addressee !== addressee);
+    const sameAddressee = nextAddressee < 0 ? answers : answers.slice(0, nextAddressee);
+    const taken = answers.splice(0, portionLength(sameAddressee, answerBytes));
     const until = Math.max(...taken.map(({ startLease }) => startLease?.validUntil ?? 0));
     if (until > (this.#startsUntil.get(node) ?? 0)) this.#startsUntil.set(node, until);
-    return taken.map((answer) => toForwardedAnswer(answer, now));
+    return { answers: taken.map((answer) => toForwardedAnswer(answer, now)), addressee };
   }
 
   #send(
     node: string,
     outbox: Outbox,
-    content: {
-      answers: ForwardedAnswer[];
+    content: AnswerBatch & {
       attention: readonly string[];
       snapshot?: number;
       redirect?: Rebalancing;
@@ -257,6 +269,7 @@
       sentAt: ports.clock.epochMs(),
       number: outbox.number,
       answers: content.answers,
+      addressee: content.addressee,
       attention: content.attention,
       isSnapshot: snapshot !== undefined,
       isSharing: this.#isSharing,
@@ -281,7 +294,7 @@
       outbox.attention = [];
       const redirect = this.#rebalancing?.from === node ? this.#rebalancing : undefined;
       const content = {
-        answers: this.#takeAnswers(node, outbox),
+        ...this.#takeAnswers(node, outbox),
         attention: mayFollowersAnswer ? attention : [],
       };
       this.#send(node, outbox, {
--- a/src/wire/intake.ts
+++ b/src/wire/intake.ts
@@ -58,6 +58,11 @@
 export interface AnswersMessage extends Envelope {
   readonly kind: 'answers';
   readonly answers: readonly ForwardedAnswer[];
+  /**
+   * Incarnation of the follower that forwarded the answered heartbeats; empty: there are no answers, or the leader is of
+   * a version that does not state it. References mean nothing to another incarnation.
+   */
+  readonly addressee: string;
   /** Sequence number of the leader's messages to this follower; after a gap the follower waits for a snapshot. */
   readonly number: number;
   /** Machines whose next heartbeat must be forwarded: all of them in a snapshot, otherwise only those added. */
@@ -152,6 +157,8 @@
       viewConfirmedAt: { type: 'double', id: 13 },
       redirectTo: { type: 'string', id: 14 },
       redirectCount: { type: 'uint32', id: 15 },
+      // Versions before this field omit it when sending and skip it when reading.
+      addressee: { type: 'string', id: 16 },
     },
   },
 };
@@ -196,6 +203,7 @@
   readonly viewConfirmedAt: number;
   readonly redirectTo: string;
   readonly redirectCount: number;
+  readonly addressee: string;
 }
 
 const taskToWire = ({ job, task, attempt, stage, exit }: ReportedTask): WireTask => ({
@@ -295,8 +303,10 @@
         tasks: heartbeat.tasks.map(taskToWire),
       })),
     };
+  const { addressee, ...others } = message;
   return {
-    ...rest,
+    ...others,
+    ...(addressee === '' ? {} : { addressee }),
     fromLeader: true,
     answers: message.answers.map(answerToWire),
     redirectTo: message.redirect?.to ?? '',
@@ -328,6 +338,7 @@
     kind: 'answers',
     ...envelope,
     answers: wire.answers.map(answerFromWire),
+    addressee: wire.addressee,
     number: wire.number,
     attention: wire.attention,
     isSnapshot: wire.isSnapshot,
--- a/test/emulators/golden-messages.ts
+++ b/test/emulators/golden-messages.ts
@@ -115,6 +115,7 @@
       { reference: 1, isAccepted: true, needsAttention: true, commands: COMMANDS },
       { reference: 2, isAccepted: false, needsAttention: false, commands: [] },
     ],
+    addressee: '',
     number: 12,
     attention: ['vm-000004'],
     isSnapshot: false,
@@ -126,6 +127,7 @@
     kind: 'answers',
     ...ENVELOPE,
     answers: [],
+    addressee: '',
     number: 1,
     attention: ['vm-000001', 'vm-000002'],
     isSnapshot: true,
@@ -157,7 +159,8 @@
 export function startFence(): string[] {
   const answer = { reference: 1, isAccepted: true, needsAttention: false, commands: COMMANDS };
   const leased = { ...answer, startLease: { remainingMs: 1250, viewRevision: 412 } };
-  const answers = { kind: 'answers', ...ENVELOPE, number: 3, attention: [], redirect: null } as const;
+  const list = { number: 3, attention: [], redirect: null, addressee: '' } as const;
+  const answers = { kind: 'answers', ...ENVELOPE, ...list } as const;
   const message = { node: 'n-1', requested: 0, promised: 412, fenced: 400, forwarders: [] };
   return [
     `promise ${hex(encodeStartFence(message))}`,
@@ -166,6 +169,14 @@
   ];
 }
 
+/** A forwarded answer that states for which incarnation of the follower it is, in hexadecimal. */
+export function addressedAnswers(): string[] {
+  const { answers } = INTAKE;
+  return answers?.kind === 'answers'
+    ? [`answers ${hex(encodeIntake({ ...answers, addressee: 'life-3' }))}`]
+    : [];
+}
+
 /** Messages to workers. */
 export function workers(): string[] {
   return [
--- a/test/golden.test.ts
+++ b/test/golden.test.ts
@@ -9,6 +9,7 @@
 const FILES: readonly (readonly [string, () => string[] | Promise<string[]>])[] = [
   ['peers', messages.peers],
   ['start-fence', messages.startFence],
+  ['addressed-answers', messages.addressedAnswers],
   ['workers', messages.workers],
   ['reports', messages.reports],
   ['submissions', messages.submissions],
--- a/test/large-fleet.test.ts
+++ b/test/large-fleet.test.ts
@@ -128,6 +128,7 @@
   sentAt: 5,
   number: 3,
   answers: [],
+  addressee: '',
   attention: NAMES,
   isSnapshot: true,
   isSharing: true,
--- a/test/message-limits.test.ts
+++ b/test/message-limits.test.ts
@@ -363,6 +363,7 @@
   sentAt: 5,
   number: 3,
   answers: [],
+  addressee: '',
   attention: [],
   isSnapshot: true,
   isSharing: true,
--- a/test/shared-reports.test.ts
+++ b/test/shared-reports.test.ts
@@ -81,6 +81,7 @@
       sentAt: this.clock.epochMs(),
       number: this.number,
       answers: [],
+      addressee: 'follower-incarnation',
       attention: [],
       isSnapshot: false,
       isSharing: true,
@@ -569,6 +570,7 @@
     {
       kind: 'answers',
       ...envelope,
+      addressee: 'y',
       number: 4,
       attention: ['m'],
       isSnapshot: true,
--- a/test/wire.test.ts
+++ b/test/wire.test.ts
@@ -147,7 +147,7 @@
     attention: [],
     isSnapshot: false,
   } as const;
-  const answersMessage = { ...answers, isSharing: true, viewConfirmedAt: 0, redirect: null };
+  const answersMessage = { ...answers, addressee: '', isSharing: true, viewConfirmedAt: 0, redirect: null };
   fc.assert(
     fc.property(
       fc.array(anyCommand, { maxLength: 60 }),
