A restarted controller lists every follower as one that may still pass on starts

Cause: the list of followers that were given starts begins empty in each process. The incarnation before may have given a follower a start whose lease is not over; a follower that does not answer then counted by its term, and a cancellation could be confirmed before that start was passed on.

Change: until the lease of such a start is over (a leader's lease after the process began), all followers are listed.

Evidence: "lists every follower as one that may pass on starts …" (test/shared-reports.test.ts) fails before. The case about the rest of a lease begins after that time now, and checks what it did.

--- a/src/controller/shared-heartbeats.ts
+++ b/src/controller/shared-heartbeats.ts
@@ -90,11 +90,14 @@
   /** By follower: monotonic time (ms) until which it may pass on starts; kept when this node no longer leads. */
   readonly #startsUntil = new Map<string, number>();
   #isFlushScheduled = false;
+  readonly #startedAt: number;
 
   constructor(
     private readonly controller: ControllerContext,
     private readonly context: SharedHeartbeatsContext,
-  ) {}
+  ) {
+    this.#startedAt = controller.ports.clock.monotonicMs();
+  }
 
   /** Workers by follower, for the status page. */
   describe(): object {
@@ -104,9 +107,16 @@
     };
   }
 
-  /** Followers that may still pass on starts that they were sent. */
+  /**
+   * Followers that may still pass on starts that they were sent. An earlier incarnation of this node may have sent starts
+   * to any of them, so until the lease of those starts is over, all are listed.
+   */
   forwarders(): string[] {
-    const now = this.controller.ports.clock.monotonicMs();
+    const { settings, timing, ports } = this.controller;
+    const now = ports.clock.monotonicMs();
+    // One tick more than the lease covers the drift of the clocks.
+    if (now < this.#startedAt + timing.leaderLeaseMs + timing.tickMs)
+      return settings.others.map(({ host_name }) => host_name);
     return [...this.#startsUntil].flatMap(([node, until]) => (until > now ? [node] : []));
   }
 
--- a/test/shared-reports.test.ts
+++ b/test/shared-reports.test.ts
@@ -506,6 +506,8 @@
 
   test('sends starts with the rest of their lease, and none whose lease is over', async () => {
     const harness = new LeaderHarness();
+    const startLeasesEndAt = TIMES.leaderLeaseMs + TIMES.tickMs;
+    await harness.virtualClock.runUntil(startLeasesEndAt);
     harness.shared.sendSnapshots();
     const start = { op: 'start', job: 'req-1', task: 0, attempt: 1 } as const;
     const stop = { op: 'stop', job: 'req-2', task: 0, attempt: 1, graceS: 0 } as const;
@@ -518,7 +520,7 @@
     );
     expect(harness.shared.forwarders()).toEqual([]);
     for (let i = 0; i < 3; i += 1) harness.receive({});
-    await harness.virtualClock.runUntil(10);
+    await harness.virtualClock.runUntil(startLeasesEndAt + 10);
     const sent = harness.sent.flatMap((message) => (message.kind === 'answers' ? message.answers : []));
     expect(sent.map(({ commands, startLease }) => [commands, startLease])).toEqual([
       [[start, stop], { remainingMs: 700, viewRevision: 70 }],
@@ -528,7 +530,17 @@
     // The follower may pass them on until then, also if this node no longer leads.
     harness.shared.clear();
     expect(harness.shared.forwarders()).toEqual(['n-1']);
-    await harness.virtualClock.runUntil(701);
+    await harness.virtualClock.runUntil(startLeasesEndAt + 701);
+    expect(harness.shared.forwarders()).toEqual([]);
+  });
+
+  // Otherwise a follower that still holds such a start would count as one that follows and passes on none.
+  test('lists every follower as one that may pass on starts, until the starts of an earlier incarnation have expired', async () => {
+    const harness = new LeaderHarness();
+    expect(harness.shared.forwarders()).toEqual(['n-1', 'n-2']);
+    await harness.virtualClock.runUntil(TIMES.leaderLeaseMs + 1);
+    expect(harness.shared.forwarders()).toEqual(['n-1', 'n-2']);
+    await harness.virtualClock.runUntil(TIMES.leaderLeaseMs + TIMES.tickMs);
     expect(harness.shared.forwarders()).toEqual([]);
   });
 
