The running incarnation of a peer is recognized although a message of the earlier one came after its own

Cause: which incarnation of a peer is current was decided by the order of arrival for good. If the first message of a short-lived incarnation is held back until its successor has been heard, the two are taken for each other, and every message of the running process is ignored until it is restarted again.

Change: the tracking has a class of its own. An earlier incarnation is taken back if it is heard for longer than two heartbeat intervals while the other is silent; delayed messages arrive together and are ignored as before.

Evidence: two cases in test/membership.test.ts, of which "the running incarnation is recognized …" fails if an incarnation is never taken back.

--- a/src/controller/node.ts
+++ b/src/controller/node.ts
@@ -338,7 +338,8 @@
   /** Processes another controller's status. */
   onPeer(status: PeerStatus): void {
     // A delayed message of an earlier incarnation is no evidence about the current one.
-    if (!this.#failureDetector.membership.isCurrentIncarnation(status)) return;
+    const now = this.#context.ports.clock.monotonicMs();
+    if (!this.#failureDetector.membership.acceptIncarnation(status, now)) return;
     this.#peers.onPeer(status);
     this.#failureDetector.onPeer(status);
     this.#startFence.onStatus();
--- a/src/membership/evidence-rules.ts
+++ b/src/membership/evidence-rules.ts
@@ -5,6 +5,7 @@
  * test/membership.test.ts removes each of them once.
  */
 import type { Timing } from '../core/timing.js';
+import type { Incarnations } from './incarnations.js';
 import type { InterArrivalTracker } from './inter-arrival-tracker.js';
 import type { HealthCounts, LinkState, ProbeRound, MemberStatus } from './status.js';
 
@@ -24,8 +25,7 @@
   linkLostAt: number | null;
   /** Refusals of the link since it was lost or last up. */
   consecutiveRefusals: number;
-  /** Earlier incarnations of the peer, latest last. */
-  readonly previousIncarnations: string[];
+  readonly incarnations: Incarnations;
 }
 
 /** State of this node itself. */
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -4,6 +4,7 @@
  * monotonic time in milliseconds.
  */
 import type { Timing } from '../core/timing.js';
+import { Incarnations } from './incarnations.js';
 import { InterArrivalTracker } from './inter-arrival-tracker.js';
 import { ProcessingRateMonitor } from './processing-rate.js';
 import {
@@ -42,9 +43,6 @@
 /** Consecutive timers that must fire in time before this process counts as caught up. */
 const MIN_PUNCTUAL_TIMERS = 3;
 
-/** Previous incarnations of a peer that are remembered. */
-const MAX_PREVIOUS_INCARNATIONS = 50;
-
 /** Peers, evidence and verdicts of one controller. */
 export class Membership {
   readonly #peers = new Map<string, Peer>();
@@ -82,7 +80,7 @@
         linkState: 'silent',
         linkLostAt: null,
         consecutiveRefusals: 0,
-        previousIncarnations: [],
+        incarnations: new Incarnations(2 * timing.maxHeartbeatIntervalMs),
       });
       this.#suspicions.set(node, { node, level: 'trusted', since: -Infinity, evidence: 'not heard yet' });
     }
@@ -90,7 +88,12 @@
 
   /** Whether a message is not from an earlier incarnation of its sender: such a message was delayed. */
   isCurrentIncarnation({ node, incarnation }: Pick<MemberStatus, 'node' | 'incarnation'>): boolean {
-    return this.#peers.get(node)?.previousIncarnations.includes(incarnation) !== true;
+    return this.#peers.get(node)?.incarnations.isEarlier(incarnation) !== true;
+  }
+
+  /** Records of which incarnation a status is; false: it is from an earlier one, and has to be ignored. */
+  acceptIncarnation({ node, incarnation }: Pick<MemberStatus, 'node' | 'incarnation'>, now: number): boolean {
+    return this.#peers.get(node)?.incarnations.accept(incarnation, now) ?? true;
   }
 
   /** Whether a peer is in contact, its link is up, and its timers are less than two ticks late. */
@@ -106,11 +109,7 @@
    */
   receiveStatus(status: MemberStatus, now: number): void {
     const peer = this.#peers.get(status.node);
-    if (peer === undefined || !this.isCurrentIncarnation(status)) return;
-    const earlierIncarnation = peer.status?.incarnation;
-    if (earlierIncarnation !== undefined && earlierIncarnation !== status.incarnation)
-      peer.previousIncarnations.push(earlierIncarnation);
-    if (peer.previousIncarnations.length > MAX_PREVIOUS_INCARNATIONS) peer.previousIncarnations.shift();
+    if (peer === undefined || !this.acceptIncarnation(status, now)) return;
     const hadGap =
       peer.lastStatusAt === null || now - peer.lastStatusAt > 2 * this.timing.maxHeartbeatIntervalMs;
     if (hadGap || peer.status?.incarnation !== status.incarnation) {
--- a/test/membership.test.ts
+++ b/test/membership.test.ts
@@ -1,6 +1,7 @@
 /** Suspicion and failure detection: what each evidence rule guards against; routing of workers by followers. */
 import { expect, test } from 'vitest';
 import { InterArrivalTracker } from '../src/membership/inter-arrival-tracker.js';
+import { Incarnations } from '../src/membership/incarnations.js';
 import { Membership } from '../src/membership/membership.js';
 import { WorkerRouter, type LeaderReachability } from '../src/membership/worker-router.js';
 import { EVIDENCE_RULES, snapshotIntervalMs, type EvidenceRules } from '../src/membership/evidence-rules.js';
@@ -332,3 +333,24 @@
   scene.receiveStatus('b', { incarnation: 'second', term: 99 });
   expect(scene.membership.statusOf('b')).toBe(before);
 });
+
+// Otherwise the running incarnation would be ignored until it is restarted.
+test('the running incarnation is recognized although a message of the earlier one came after its own', () => {
+  const incarnations = new Incarnations(1000);
+  expect(incarnations.accept('running', 0)).toBe(true);
+  // A delayed message of an earlier incarnation, which was not known here.
+  expect(incarnations.accept('earlier', 10)).toBe(true);
+  const accepted = [500, 1200, 1700, 2250, 2700].map((at) => incarnations.accept('running', at));
+  expect(accepted).toEqual([false, false, false, true, true]);
+  expect(incarnations.accept('earlier', 2800)).toBe(false);
+});
+
+test('messages of an earlier incarnation that arrive together do not revive it, however long its successor is silent', () => {
+  const incarnations = new Incarnations(1000);
+  incarnations.accept('earlier', 0);
+  incarnations.accept('running', 10);
+  for (const at of [5000, 5010, 5900]) expect(incarnations.accept('earlier', at)).toBe(false);
+  expect(incarnations.accept('running', 5950)).toBe(true);
+  expect(incarnations.accept('earlier', 6100)).toBe(false);
+  expect(incarnations.accept('earlier', 7200)).toBe(false);
+});
