Leaders of different terms number their probe rounds differently

Cause: rounds counted from 1 in each process, so a follower took a new leader's first round for one that it had answered and did not probe, and its earlier result counted as its contact with the new leader's machines.

Change: a round's number holds the low bits of its term.

Evidence: "leaders of different terms number their probe rounds differently" (test/membership.test.ts).

--- a/src/controller/failure-detector.ts
+++ b/src/controller/failure-detector.ts
@@ -10,6 +10,7 @@
   type SuspicionState,
 } from '../membership/membership.js';
 import { MACHINES_UNREACHABLE, MIN_UNEXPECTED_REPORTS } from '../membership/evidence-rules.js';
+import { nextProbeRound } from '../membership/probe-rounds.js';
 import type { LinkState, MemberStatus } from '../membership/status.js';
 import { storeContactAgeMs, type ControllerContext } from './context.js';
 import type { FailureDetectorStatus } from './peer-exchange.js';
@@ -193,7 +194,8 @@
     this.#probesRequestedAt = now;
     this.#probeRequests = this.#sampleMachines(now, silentOnly);
     if (this.#probeRequests.length === 0) return;
-    const round = this.membership.probeRound.round + 1;
+    const { health, leadership } = this.context.commands.state;
+    const round = nextProbeRound(leadership?.term ?? 0, this.membership.probeRound.round);
     this.membership.setProbeRound({
       round,
       reachable: 0,
@@ -201,7 +203,6 @@
       requested: this.#probeRequests.length,
       startedAt: now,
     });
-    const { health } = this.context.commands.state;
     if (silentOnly)
       this.context.ports.log.info(
         { probes: this.#probeRequests.length, ...health },
--- a/test/membership.test.ts
+++ b/test/membership.test.ts
@@ -2,6 +2,7 @@
 import { expect, test } from 'vitest';
 import { InterArrivalTracker } from '../src/membership/inter-arrival-tracker.js';
 import { Incarnations } from '../src/membership/incarnations.js';
+import { nextProbeRound } from '../src/membership/probe-rounds.js';
 import { Membership } from '../src/membership/membership.js';
 import { WorkerRouter, type LeaderReachability } from '../src/membership/worker-router.js';
 import { EVIDENCE_RULES, snapshotIntervalMs, type EvidenceRules } from '../src/membership/evidence-rules.js';
@@ -354,3 +355,16 @@
   expect(incarnations.accept('earlier', 6100)).toBe(false);
   expect(incarnations.accept('earlier', 7200)).toBe(false);
 });
+
+// A result of an earlier leader's round would count as a peer's contact with the machines of this one.
+test('leaders of different terms number their probe rounds differently', () => {
+  const first = nextProbeRound(7, 0);
+  const second = nextProbeRound(7, first);
+  const ofOtherTerms = [6, 8, 9, 70_000].flatMap((term) => {
+    const start = nextProbeRound(term, second);
+    return [start, nextProbeRound(term, start)];
+  });
+  expect(new Set([first, second, ...ofOtherTerms]).size).toBe(10);
+  for (const round of [first, second, ...ofOtherTerms]) expect(round).toBeLessThan(2 ** 32);
+  expect(nextProbeRound(7, 7 * 2 ** 16 + 2 ** 16 - 1)).toBe(first);
+});
