The outcome of a reconciliation names it, and another one's is ignored

Cause: a process that leads again may still receive the reads of a reconciliation of its earlier leadership. They were taken for those of the pending one: records that they do not mention count as gone, so a superseded record could be forgotten and stay in the store. Writes were safe throughout, as each is conditional on its record's revision.

Change: the request and its outcome carry the id of the commit, which is never used again in a process.

Evidence: "the reads of another reconciliation are not taken for those of the pending one" (test/fencing.test.ts) fails without the comparison.

--- a/src/controller/effect-executor.ts
+++ b/src/controller/effect-executor.ts
@@ -11,7 +11,7 @@
   /** Reads the final outcomes of jobs that others depend on. */
   resolveDependencies(ids: readonly string[]): void;
   /** Reads the committed records of jobs and chunks after a write with an unknown outcome. */
-  reconcile(jobs: readonly string[], chunks: readonly string[]): void;
+  reconcile(id: number, jobs: readonly string[], chunks: readonly string[]): void;
   /** Notifies followers of machines that need the leader's attention, since the next answer may carry a command. */
   announceAttention(machines: readonly string[]): void;
   /** No start leaves this node any more on a view that does not cover this revision of the store. */
@@ -53,7 +53,7 @@
         return;
       }
       case 'reconcile': {
-        this.handlers.reconcile(effect.jobs, effect.chunks);
+        this.handlers.reconcile(effect.id, effect.jobs, effect.chunks);
         return;
       }
       case 'sendCommands':
--- a/src/controller/leader-role.ts
+++ b/src/controller/leader-role.ts
@@ -307,15 +307,15 @@
   }
 
   /** Reads the committed records after a write with an unknown outcome; the result is null if a read fails. */
-  async reconcile(ids: readonly string[], keys: readonly string[]): Promise<void> {
+  async reconcile(id: number, jobIds: readonly string[], keys: readonly string[]): Promise<void> {
     const jobs = new Map<string, { live: boolean; ended: EndedRecord | null }>();
     const chunks = new Map<string, number>();
     let isComplete = true;
-    for (const id of ids) {
-      const job = await readJob(this.context.ports.store, id);
+    for (const jobId of jobIds) {
+      const job = await readJob(this.context.ports.store, jobId);
       if (job.kind === 'unknown') isComplete = false;
       else
-        jobs.set(id, {
+        jobs.set(jobId, {
           live: job.kind === 'live' || job.kind === 'damaged',
           ended: job.kind === 'ended' ? job.record : null,
         });
@@ -330,6 +330,7 @@
     if (!isComplete) await this.context.ports.clock.sleep(this.context.timing.tickMs);
     this.context.commands.push({
       kind: 'reconciled',
+      id,
       found: isComplete ? ({ jobs, chunks } satisfies ReconciledRecords) : null,
     });
   }
--- a/src/controller/node.ts
+++ b/src/controller/node.ts
@@ -137,7 +137,7 @@
   #createExecutor(): EffectExecutor {
     return new EffectExecutor(this.#context, {
       resolveDependencies: (ids) => void this.#leaderRole.resolveDependencies(ids),
-      reconcile: (jobs, chunks) => void this.#leaderRole.reconcile(jobs, chunks),
+      reconcile: (id, jobs, chunks) => void this.#leaderRole.reconcile(id, jobs, chunks),
       announceAttention: (machines) => this.#sharedHeartbeats.announceAttention(machines),
       startsFenced: (revision) => this.#startFence.onPromised(revision),
       steppedDown: (reason) => this.#onSteppedDown(reason),
--- a/src/core/command-handlers.ts
+++ b/src/core/command-handlers.ts
@@ -105,7 +105,7 @@
   jobRemoved: (state, { id }) => removeJob(state, id),
   jobsReplaced: replaceJobs,
   committed: applyCommitOutcome,
-  reconciled: (state, { found }, now, effects) => settleReconciliation(state, found, now, effects),
+  reconciled: (state, { id, found }, now, effects) => settleReconciliation(state, id, found, now, effects),
   machinesRelayed: recordRelayedMachines,
   keepalives: (state, { keepalives }, now) => {
     for (const keepalive of keepalives) applyKeepalive(state, keepalive, now);
--- a/src/core/effects.ts
+++ b/src/core/effects.ts
@@ -124,8 +124,8 @@
   | { readonly kind: 'adoptLayout'; readonly layout: RecordLayout }
   /** The outcome of the commit with this id. */
   | { readonly kind: 'committed'; readonly id: number; readonly outcome: CommitOutcome }
-  /** The records that a reconciliation has read; null: the key-value store did not answer. */
-  | { readonly kind: 'reconciled'; readonly found: ReconciledRecords | null }
+  /** The records that a reconciliation has read; null: the key-value store did not answer. `id`: as in its request. */
+  | { readonly kind: 'reconciled'; readonly id: number; readonly found: ReconciledRecords | null }
   /** The cloud's machine types. */
   | { readonly kind: 'catalog'; readonly types: readonly MachineType[] }
   /** The cloud's list of machines, requested at `requestedAt`. */
@@ -164,8 +164,13 @@
   | { readonly kind: 'reply'; readonly reply: number; readonly body: Reply }
   /** Sends a transaction; answered by `committed`. */
   | { readonly kind: 'commit'; readonly id: number; readonly transaction: Transaction }
-  /** Reads the records of these jobs (ids) and chunks (keys); answered by `reconciled`. */
-  | { readonly kind: 'reconcile'; readonly jobs: readonly string[]; readonly chunks: readonly string[] }
+  /** Reads the records of these jobs (ids) and chunks (keys); answered by `reconciled` with the same id. */
+  | {
+      readonly kind: 'reconcile';
+      readonly id: number;
+      readonly jobs: readonly string[];
+      readonly chunks: readonly string[];
+    }
   /** Looks up the states of these jobs; answered by `dependenciesResolved`. */
   | { readonly kind: 'resolveDependencies'; readonly ids: readonly string[] }
   /** Calls a worker directly; answered by `directAnswer` if the worker answers with a heartbeat. */
--- a/src/core/persistence/reconciliation.ts
+++ b/src/core/persistence/reconciliation.ts
@@ -26,8 +26,8 @@
     jobs.add(job.spec.id);
     keys.push(key);
   }
-  state.pendingReconciliation = [...jobs];
-  effects.push({ kind: 'reconcile', jobs: [...jobs], chunks: keys });
+  state.pendingReconciliation = { id: commit.id, jobs: [...jobs] };
+  effects.push({ kind: 'reconcile', id: commit.id, jobs: [...jobs], chunks: keys });
 }
 
 /** Keys of a job's records whose revision is unknown. */
@@ -60,19 +60,23 @@
   markDirty(state, job);
 }
 
-/** Applies the records that were read. Null: the key-value store did not answer, and the read is requested again. */
+/**
+ * Applies the records that were read. Null: the key-value store did not answer, and the read is requested again. The
+ * outcome of any other reconciliation than the pending one is ignored: it may be of an earlier leadership.
+ */
 export function settleReconciliation(
   state: CoreState,
+  id: number,
   found: ReconciledRecords | null,
   now: Now,
   effects: Effect[],
 ): void {
-  const ids = state.pendingReconciliation;
-  if (ids === null) return;
-  const jobs = ids.map((id) => state.jobs.get(id)).filter((job) => job !== undefined);
+  const pending = state.pendingReconciliation;
+  if (pending?.id !== id) return;
+  const jobs = pending.jobs.map((jobId) => state.jobs.get(jobId)).filter((job) => job !== undefined);
   if (found === null) {
     const chunks = jobs.flatMap((job) => unknownKeysOf(state, job));
-    effects.push({ kind: 'reconcile', jobs: ids, chunks });
+    effects.push({ kind: 'reconcile', id, jobs: pending.jobs, chunks });
     return;
   }
   state.pendingReconciliation = null;
--- a/src/core/state.ts
+++ b/src/core/state.ts
@@ -111,8 +111,8 @@
   /** Id of the next commit. */
   nextCommitId: number;
   commitNotBefore: number;
-  /** Ids of the jobs that are being reconciled, during which no commit is made; null: no reconciliation. */
-  pendingReconciliation: readonly string[] | null;
+  /** The jobs that are being reconciled after the commit with this id, during which no commit is made; null: no reconciliation. */
+  pendingReconciliation: { readonly id: number; readonly jobs: readonly string[] } | null;
   /** Each transaction holds the changes of one job, since even one of the minimum size was rejected. */
   writesJobsSingly: boolean;
   /** Number of mutations that may be written (`level`), as of the time `at`. */
--- a/test/concurrent-faults.test.ts
+++ b/test/concurrent-faults.test.ts
@@ -88,7 +88,7 @@
   harness.now += harness.state.config.timing.exitBatchDelayMs;
   const id = commitOf(harness.step({ kind: 'tick' }));
   harness.step({ kind: 'committed', id, outcome: { kind: 'unknown' } });
-  harness.step({ kind: 'reconciled', found: null });
+  harness.step({ kind: 'reconciled', id, found: null });
   // The watch responds: the job was cancelled by its user, and the view is confirmed again.
   harness.step({ kind: 'jobRemoved', id: 'req-1' }, { kind: 'viewConfirmed', sentAt: harness.now });
   const effects = harness.step({ kind: 'heartbeat', reply: 70, heartbeat: heartbeatOf('m', 5, ended) });
--- a/test/fencing.test.ts
+++ b/test/fencing.test.ts
@@ -64,6 +64,7 @@
   harness.step({ kind: 'committed', id: commit.id, outcome: { kind: 'failed', keys: ['job/req-1'] } });
   harness.step({
     kind: 'reconciled',
+    id: commit.id,
     found: {
       jobs: new Map([['req-1', { live: false, ended: { stage: 'withdrawn', tasks: 1, done: 0 } }]]),
       chunks: new Map(),
@@ -81,6 +82,7 @@
   const retry = commitOf(
     harness.step({
       kind: 'reconciled',
+      id: lost.id,
       found: { jobs: new Map([['req-1', { live: true, ended: null }]]), chunks: new Map() },
     }),
   );
@@ -88,6 +90,19 @@
   expect(store.commit(lost.transaction).kind).toBe('failed');
 });
 
+// The process may lead again before a read of its earlier leadership is answered.
+test('delayed transactions: the reads of another reconciliation are not taken for those of the pending one', () => {
+  const { harness, commit: lost } = leaderWithPendingClaim();
+  harness.step({ kind: 'committed', id: lost.id, outcome: { kind: 'unknown' } });
+  const found = {
+    jobs: new Map([['req-1', { live: true, ended: null }]]),
+    chunks: new Map<string, number>(),
+  };
+  expect(kinds(harness.step({ kind: 'reconciled', id: lost.id - 1, found }))).not.toContain('commit');
+  expect(harness.state.pendingReconciliation).toEqual({ id: lost.id, jobs: ['req-1'] });
+  expect(kinds(harness.step({ kind: 'reconciled', id: lost.id, found }))).toContain('commit');
+});
+
 test('write-ahead: no start is sent before its commit is known', () => {
   const { harness, commit } = leaderWithPendingClaim();
   expect(
