Soak: controllers back within a second, slow commits and late copies of their frames

The simulated network can deliver copies of frames between controllers late, to whatever process runs on the node by then. A follower is restarted every second or so while commits are slow and the leader stands still.

--- a/test/emulators/simulation.ts
+++ b/test/emulators/simulation.ts
@@ -66,6 +66,9 @@
 /** With SHARING in the environment, followers accept heartbeats in all simulations without the option `sharing`. */
 const ALWAYS_SHARES = process.env['SHARING'] !== undefined;
 
+/** The longest delay of a copied frame, in milliseconds; most are much shorter. */
+const MAX_FRAME_COPY_DELAY_MS = 12_000;
+
 /** Deviations from the default simulation. */
 export interface SimulationOptions {
   readonly cpusMax?: number;
@@ -81,6 +84,8 @@
   readonly onMessage?: MessageListener;
   /** All controllers start as the version without DAG dependencies. */
   readonly startsEarlierVersion?: boolean;
+  /** Share of the frames between controllers of which a copy arrives late, also at a restarted process. */
+  readonly frameCopyShare?: number;
 }
 
 export interface LogLine {
@@ -142,6 +147,8 @@
   #duplication = { share: 0, until: 0 };
   /** Duplicated heartbeats that are held until a leader has loaded its state. */
   readonly #duplicates: ((node: string) => void)[] = [];
+  /** Number of late copies of frames that were delivered. */
+  frameCopies = 0;
   /** Number of heartbeats whose duplicates were released when a leader had loaded its state. */
   duplicatesDelivered = 0;
   readonly #logListeners = new Map<string, (() => void)[]>();
@@ -563,6 +570,23 @@
       );
       for (const next of due) other.clock.awake(() => reader.push(next));
     });
+    this.#copyFrame(to, frame);
+  }
+
+  /** Delivers a late copy of some frames to whatever process runs on the node by then. */
+  #copyFrame(to: string, frame: Uint8Array): void {
+    const { frameCopyShare = 0 } = this.options;
+    if (frameCopyShare === 0 || this.draw() >= frameCopyShare) return;
+    this.clock.in(MAX_FRAME_COPY_DELAY_MS * this.draw() ** 2, () => {
+      const receiver = this.#controllers.get(to);
+      if (receiver?.clock.alive !== true) return;
+      this.frameCopies += 1;
+      const reader = new PeerMessageReader(
+        (received) => receiver.node.onIntake(received),
+        (received) => receiver.node.onStartFence(received),
+      );
+      receiver.clock.awake(() => reader.push(frame));
+    });
   }
 
   /** A randomly drawn running node, or null if there is none. */
--- a/test/stale-copies.test.ts
+++ b/test/stale-copies.test.ts
@@ -2,6 +2,7 @@
  * Messages that come late or twice, and numbers that start afresh with a process: nothing that was meant for one machine,
  * heartbeat or incarnation reaches another.
  */
+import fc from 'fast-check';
 import protobuf from 'protobufjs/light.js';
 import { describe, expect, test } from 'vitest';
 import type { ControllerContext } from '../src/controller/context.js';
@@ -14,7 +15,7 @@
 import type { IntakeMessage } from '../src/wire/intake.js';
 import { ProcessClock, VirtualClock } from './emulators/clock.js';
 import { CoreHarness, heartbeatOf, job, task, TERM } from './emulators/core-harness.js';
-import { testSettings } from './emulators/simulation.js';
+import { drawRun, seeded, Simulation, testSettings } from './emulators/simulation.js';
 
 const TIMES = timing(testSettings(0));
 
@@ -385,3 +386,44 @@
     expect(read).toMatchObject({ node: 'n-1', acceptsHeartbeats: false, format: 0 });
   });
 });
+
+// A soak: a short seeded run in CI, a longer one with DAYS and SEED in the environment.
+test('with controllers back within a second and late copies of their messages, no rule is violated', async () => {
+  let copies = 0;
+  await fc.assert(
+    fc.asyncProperty(fc.integer({ min: 1, max: 1_000_000 }), async (seed) => {
+      const draw = seeded(seed);
+      const simulation = new Simulation(draw, {
+        sharing: true,
+        frameCopyShare: 0.5,
+        duplicatesHeartbeats: true,
+      });
+      drawRun(simulation, 60_000, 2, { jobs: 60, maxTasks: 16, machines: 24, productionFaults: true });
+      for (let i = 0; i < 12; i += 1)
+        simulation.clock.in(4000 + 60_000 * draw(), () => flapBesideSlowLeader(simulation, draw));
+      await simulation.clock.runUntil(240_000);
+      copies += simulation.frameCopies;
+      expect(simulation.checker.violations).toEqual([]);
+      expect(simulation.checker.unfinishedJobs()).toEqual([]);
+    }),
+    {
+      seed: Number(process.env['SEED'] ?? 59),
+      numRuns: Number(process.env['DAYS'] ?? 130),
+      endOnFailure: true,
+    },
+  );
+  expect(copies).toBeGreaterThan(1000);
+}, 3_600_000);
+
+/** A follower is restarted again and again within a second, while commits are slow or the leader stands still. */
+function flapBesideSlowLeader(simulation: Simulation, draw: () => number): void {
+  const [leader] = simulation.leaders();
+  const followers = [0, 1, 2].filter((node) => `n-${node}` !== leader);
+  const follower = followers[Math.floor(followers.length * draw())] ?? 0;
+  simulation.store.slow(20 + 200 * draw(), 6000);
+  for (let at = 0; at < 6000; at += 800 + 700 * draw()) {
+    simulation.clock.in(at, () => simulation.crash(follower, 20 + 100 * draw()));
+    if (leader !== undefined && draw() < 0.5)
+      simulation.clock.in(at - 300 * draw(), () => simulation.pause(Number(leader.slice(2)), 700 * draw()));
+  }
+}
