A follower's view of its leader in a class of its own; comments within the line width

Headroom is released unless all of its resources are zero, as it was before the bytes of heartbeats were one of them.

--- a/src/adapters/public-server.ts
+++ b/src/adapters/public-server.ts
@@ -19,8 +19,9 @@
 /** Time after which an idle connection is closed, in milliseconds. */
 const KEEP_ALIVE_MS = 120_000;
 /**
- * The largest body of a heartbeat, in bytes. Workers should send no more than `MAX_MESSAGE_BYTES`, but the heartbeat of a
- * machine that a controller of an earlier version has given too many tasks may be longer, and refusing it loses them all.
+ * The largest body of a heartbeat, in bytes. Workers should send no more than `MAX_MESSAGE_BYTES`, but the heartbeat of
+ * a machine that a controller of an earlier version has given too many tasks may be longer, and all of them would be
+ * lost if it were refused.
  */
 const MAX_HEARTBEAT_BYTES = 1.5 * MAX_MESSAGE_BYTES;
 const TOO_LONG_BODY = '{"error":"the response is too long"}';
--- a/src/adapters/worker-client.ts
+++ b/src/adapters/worker-client.ts
@@ -10,8 +10,8 @@
 /** The operations of the workers that the controller uses. */
 export interface WorkerClient {
   /**
-   * Raises the worker's fencing token and sends it commands, as far as they fit into one message. Resolves to the worker's heartbeat, or to `null`
-   * without a valid response.
+   * Raises the worker's fencing token and sends it commands, as far as they fit into one message. Resolves to the
+   * worker's heartbeat, or to `null` without a valid response.
    */
   sendCommands(
     address: string,
--- a/src/controller/heartbeat-intake.ts
+++ b/src/controller/heartbeat-intake.ts
@@ -18,9 +18,9 @@
   type ForwardedAnswer,
   type ForwardedHeartbeat,
   type IntakeMessage,
-  type RedirectQuota,
 } from '../wire/intake.js';
 import { portionLength } from '../wire/portions.js';
+import { LeaderView } from './leader-view.js';
 
 /** Answers a worker: an HTTP status and a body of the workers' interface. */
 export type RespondToWorker = (status: number, body: string) => void;
@@ -48,19 +48,6 @@
   route(heartbeat: Heartbeat, done: RespondToWorker): void;
 }
 
-interface LeaderView {
-  readonly leader: string;
-  readonly term: number;
-  readonly incarnation: string;
-  number: number;
-  receivedAt: number;
-  confirmedAt: number;
-  isSharing: boolean;
-  attention: Set<string>;
-  redirect: RedirectQuota | null;
-  redirectsLeft: number;
-}
-
 interface KnownWorker {
   readonly agentEpoch: number;
   readonly sequence: number;
@@ -93,8 +80,8 @@
 const REFERENCES = 2 ** 32;
 
 /**
- * The first reference of an incarnation: its hash. A leader of a version that does not state the addressee of its answers
- * may answer heartbeats of an earlier incarnation, whose references must not be in use again.
+ * The first reference of an incarnation: its hash. A leader of a version that does not state the addressee of its
+ * answers may answer heartbeats of an earlier incarnation, whose references must not be in use again.
  */
 function firstReference(incarnation: string): number {
   return createHash('sha256').update(incarnation).digest().readUInt32BE();
@@ -161,7 +148,7 @@
    */
   onLinkLost(node: string): void {
     if (this.#view?.leader !== node) return;
-    this.#view.isSharing = false;
+    this.#view.suspend();
     this.#heartbeats = [];
     for (const { heartbeat, respond } of this.#drainPending()) this.context.route(heartbeat, respond);
   }
@@ -194,7 +181,7 @@
   }
 
   #hasNews(heartbeat: Heartbeat, known: KnownWorker | undefined, view: LeaderView): boolean {
-    if (known === undefined || !known.isAnswered || view.attention.has(heartbeat.machine)) return true;
+    if (known === undefined || !known.isAnswered || view.needsAttention(heartbeat.machine)) return true;
     // If a heartbeat in between went to another controller, its answer is not known here.
     if (heartbeat.agentEpoch !== known.agentEpoch || heartbeat.sequence !== known.sequence + 1) return true;
     if (heartbeat.token !== view.term || heartbeat.terminationNoticeS !== null || hasExit(heartbeat))
@@ -219,12 +206,12 @@
     }
   }
 
-  /** Redirects a worker to the controller that the leader has chosen to balance the loads; false: no redirect is due. */
+  /** Redirects a worker to the controller that the leader has chosen to balance the loads; false: none is due. */
   #tryRedirect(view: LeaderView, { machine }: Heartbeat, done: RespondToWorker): boolean {
-    if (view.redirect === null || view.redirectsLeft <= 0) return false;
-    view.redirectsLeft -= 1;
+    const to = view.takeRedirect();
+    if (to === null) return false;
     this.#known.delete(machine);
-    done(421, this.context.encodeRedirect(view.redirect.to));
+    done(421, this.context.encodeRedirect(to));
     return true;
   }
 
@@ -261,7 +248,7 @@
       forwardedAt: now,
       receivedAt: now,
     });
-    this.#view?.attention.delete(machine);
+    this.#view?.clearAttention(machine);
     this.#enqueue(heartbeat, done);
   }
 
@@ -341,7 +328,7 @@
       // A heartbeat sent before its worker had seen the token does not reconcile the machine.
       if (known?.agentEpoch === agentEpoch && known.sequence === sequence)
         known.isAnswered = isAccepted && commands.length === 0 && token === message.term;
-      if (needsAttention) this.#view?.attention.add(machine);
+      if (needsAttention) this.#view?.requireAttention(machine);
       if (isAccepted)
         pending.respond(
           200,
@@ -366,35 +353,12 @@
     return isValid && isCovered ? commands : withoutStarts(commands);
   }
 
-  /** Updates the leader's view; false: the message is outdated, or no snapshot of its sender has arrived before it. */
+  /** Updates the view of the leader; false: the message must be ignored. */
   #updateView(message: AnswersMessage): boolean {
-    const { node, term, incarnation, number } = message;
-    const view = this.#view;
-    const isSameLeader = view?.leader === node && view.term === term && view.incarnation === incarnation;
-    if (isSameLeader && number <= view.number) return false;
-    if (message.isSnapshot) {
-      this.#view = {
-        leader: node,
-        term,
-        incarnation,
-        number,
-        receivedAt: this.context.clock.monotonicMs(),
-        confirmedAt: message.viewConfirmedAt,
-        isSharing: message.isSharing,
-        attention: new Set(message.attention),
-        redirect: message.redirect,
-        redirectsLeft: message.redirect?.count ?? 0,
-      };
-      if (!isSameLeader) this.#forwardPendingAgain();
-      return true;
-    }
-    if (!isSameLeader) return false;
-    if (number !== view.number + 1) {
-      // The missed message may have announced a start or a stop: nothing is answered here until the next snapshot.
-      view.isSharing = false;
-    }
-    view.number = number;
-    for (const machine of message.attention) view.attention.add(machine);
+    const update = LeaderView.update(this.#view, message, this.context.clock.monotonicMs());
+    if (update.kind === 'ignored') return false;
+    this.#view = update.view;
+    if (update.kind === 'newLeader') this.#forwardPendingAgain();
     return true;
   }
 
--- a/src/controller/shared-heartbeats.ts
+++ b/src/controller/shared-heartbeats.ts
@@ -108,8 +108,8 @@
   }
 
   /**
-   * Followers that may still pass on starts that they were sent. An earlier incarnation of this node may have sent starts
-   * to any of them, so until the lease of those starts is over, all are listed.
+   * Followers that may still pass on starts that they were sent. An earlier incarnation of this node may have sent
+   * starts to any of them, so until the lease of those starts is over, all are listed.
    */
   forwarders(): string[] {
     const { settings, timing, ports } = this.controller;
--- a/src/core/attention.ts
+++ b/src/core/attention.ts
@@ -21,8 +21,8 @@
 }
 
 /**
- * Brings the set up to date after an answer; `hasUnsent`: some commands did not fit into it. Returns whether the machine's
- * next heartbeat has to reach the leader.
+ * Brings the set up to date after an answer; `hasUnsent`: some commands did not fit into it. Returns whether the
+ * machine's next heartbeat has to reach the leader.
  */
 export function refreshAttention(state: CoreState, machine: Machine, hasUnsent: boolean): boolean {
   const needs = hasUnsent || [...machine.claims.values()].some(needsCommand);
--- a/src/core/fleet/worker-commands.ts
+++ b/src/core/fleet/worker-commands.ts
@@ -86,8 +86,8 @@
 });
 
 /**
- * Answers a machine's pending heartbeat with its commands, as far as they fit into one message; the others are sent with
- * the answers to later heartbeats. Sends nothing if no heartbeat is pending, or without leadership.
+ * Answers a machine's pending heartbeat with its commands, as far as they fit into one message; the others are sent
+ * with the answers to later heartbeats. Sends nothing if no heartbeat is pending, or without leadership.
  */
 export function answerHeartbeat(state: CoreState, machine: Machine, effects: Effect[]): void {
   const leadership = state.leadership;
--- a/src/core/model/machine.ts
+++ b/src/core/model/machine.ts
@@ -116,8 +116,8 @@
   /** Resources that its claims take. */
   readonly allocated: Resources;
   /**
-   * Bytes that tasks without a claim take in its heartbeat, such as exited ones; set by `fleet/heartbeats`. A claim that
-   * is removed counts until the next heartbeat.
+   * Bytes that tasks without a claim take in its heartbeat, such as exited ones; set by `fleet/heartbeats`. A claim
+   * that is removed counts until the next heartbeat.
    */
   unclaimedHeartbeatBytes: number;
 
--- a/src/core/placement/capacity-index.ts
+++ b/src/core/placement/capacity-index.ts
@@ -181,7 +181,7 @@
   releaseAllHeadroom(): void {
     this.#headroomTasks.clear();
     for (const node of this.#nodes.values()) {
-      if (node.headroom.heartbeatBytes === 0) continue;
+      if (Object.values(node.headroom).every((amount) => amount === 0)) continue;
       Object.assign(node.headroom, noResources());
       this.reindex(node);
     }
--- a/src/core/state.ts
+++ b/src/core/state.ts
@@ -111,7 +111,10 @@
   /** Id of the next commit. */
   nextCommitId: number;
   commitNotBefore: number;
-  /** The jobs that are being reconciled after the commit with this id, during which no commit is made; null: no reconciliation. */
+  /**
+   * The jobs that are being reconciled after the commit with this id, during which no commit is made; null: no
+   * reconciliation.
+   */
   pendingReconciliation: { readonly id: number; readonly jobs: readonly string[] } | null;
   /** Each transaction holds the changes of one job, since even one of the minimum size was rejected. */
   writesJobsSingly: boolean;
--- a/src/membership/incarnations.ts
+++ b/src/membership/incarnations.ts
@@ -34,8 +34,8 @@
 
   /**
    * Whether an incarnation that is taken for an earlier one proves to be the current one. If the first message of an
-   * incarnation is delayed until after those of its successor, the two are taken for each other. Delayed messages arrive
-   * together; only an incarnation that is running is heard for longer than the silence of the other.
+   * incarnation is delayed until after those of its successor, the two are taken for each other. Delayed messages
+   * arrive together; only an incarnation that is running is heard for longer than the silence of the other.
    */
   #isBack(incarnation: string, now: number): boolean {
     if (now - this.#currentHeardAt <= this.silenceMs) {
--- a/src/membership/probe-rounds.ts
+++ b/src/membership/probe-rounds.ts
@@ -1,4 +1,7 @@
-/** Numbers of probe rounds. The leaders of different terms use different numbers, so that no result is taken for another's. */
+/**
+ * Numbers of probe rounds. The leaders of different terms use different numbers, so that no result is taken for
+ * another's.
+ */
 
 /** Rounds that a leader can number in one term before it begins again; a round takes seconds. */
 const ROUNDS_PER_TERM = 2 ** 16;
--- a/src/wire/intake.ts
+++ b/src/wire/intake.ts
@@ -59,8 +59,8 @@
   readonly kind: 'answers';
   readonly answers: readonly ForwardedAnswer[];
   /**
-   * Incarnation of the follower that forwarded the answered heartbeats; empty: there are no answers, or the leader is of
-   * a version that does not state it. References mean nothing to another incarnation.
+   * Incarnation of the follower that forwarded the answered heartbeats; empty: there are no answers, or the leader is
+   * of a version that does not state it. References mean nothing to another incarnation.
    */
   readonly addressee: string;
   /** Sequence number of the leader's messages to this follower; after a gap the follower waits for a snapshot. */
@@ -261,8 +261,9 @@
   };
 }
 
-/** Upper bound of the bytes of an answer besides its commands, and of a command besides the job's id. */
+/** Upper bound of the bytes of an answer besides its commands. */
 const ANSWER_OVERHEAD_BYTES = 40;
+/** Upper bound of the bytes of a command besides its job's id. */
 const COMMAND_OVERHEAD_BYTES = 36;
 
 /** Upper bound of the bytes that an answer takes in a message. */
@@ -276,8 +277,9 @@
 export const answersBytes = (answers: readonly Pick<ForwardedAnswer, 'commands'>[]): number =>
   answers.reduce((bytes, answer) => bytes + answerBytes(answer), 0);
 
-/** Upper bound of the bytes of a forwarded heartbeat besides its names and tasks, and of a task besides its job's id. */
+/** Upper bound of the bytes of a forwarded heartbeat besides its names and tasks. */
 const HEARTBEAT_OVERHEAD_BYTES = 120;
+/** Upper bound of the bytes of a task in it besides its job's id. */
 const TASK_OVERHEAD_BYTES = 28;
 
 /** Upper bound of the bytes that a forwarded heartbeat takes in a message. */
