A follower passes on no more commands than fit into one answer

Cause: the leader's commands were cut where it decides on them.

Change: the follower cuts what it passes on by the same function; the leader sends the rest again. A response that is too long for one line is not sent as a success.

Evidence: "of a version without limits on messages …" (test/shared-reports.test.ts) failed before.

--- a/src/adapters/public-server.ts
+++ b/src/adapters/public-server.ts
@@ -45,9 +45,13 @@
   Buffer.byteLength(body) <= MAX_MESSAGE_BYTES ||
   body.split('\n').every((line) => Buffer.byteLength(line) <= MAX_MESSAGE_BYTES);
 
-function sendJson(response: ServerResponse, status: number, text: string, retryAfterS = 1): void {
+function sendJson(response: ServerResponse, status: number, body: string, retryAfterS = 1): void {
   if (response.writableEnded || response.destroyed) return;
-  const body = hasBoundedLines(text) ? text : TOO_LONG_BODY;
+  if (!hasBoundedLines(body)) {
+    // A success that cannot be reported is not one for the client.
+    sendJson(response, status < 400 ? 503 : status, TOO_LONG_BODY, retryAfterS);
+    return;
+  }
   const headers: Record<string, string | number> = {
     'Content-Type': 'application/json',
     'Content-Length': Buffer.byteLength(body),
--- a/src/controller/heartbeat-intake.ts
+++ b/src/controller/heartbeat-intake.ts
@@ -9,6 +9,7 @@
 import type { Clock } from '../adapters/clock.js';
 import { withoutStarts, type Keepalive } from '../core/fleet/index.js';
 import { MAX_TRACKED_MACHINES } from '../core/limits.js';
+import { commandsWithinLimit } from '../core/message-sizes.js';
 import type { Heartbeat, ReportedTask, WorkerCommand } from '../core/types.js';
 import { snapshotIntervalMs } from '../membership/evidence-rules.js';
 import type { Timing } from '../config/settings.js';
@@ -341,16 +342,18 @@
   /**
    * The commands of the leader's answer, without starts whose lease may be over, and without starts decided on a view
    * that does not cover what this node has promised. The heartbeat was forwarded before the leader decided, so the time
-   * since then is at least the answer's age. A leader of a version without leases for starts states none.
+   * since then is at least the answer's age. A leader of a version without leases for starts states none, and one of a
+   * version without limits on messages may send more than fits into one; what is left out it sends again.
    */
   #commandsToPassOn(
     { commands, startLease }: ForwardedAnswer,
     { forwardedAt }: PendingHeartbeat,
   ): readonly WorkerCommand[] {
-    if (startLease === undefined) return commands;
+    const fitting = commandsWithinLimit(commands);
+    if (startLease === undefined) return fitting;
     const isValid = this.context.clock.monotonicMs() - forwardedAt < startLease.remainingMs;
     const isCovered = startLease.viewRevision >= this.context.startFence();
-    return isValid && isCovered ? commands : withoutStarts(commands);
+    return isValid && isCovered ? fitting : withoutStarts(fitting);
   }
 
   /** Updates the view of the leader; false: the message must be ignored. */
--- a/test/shared-reports.test.ts
+++ b/test/shared-reports.test.ts
@@ -18,6 +18,8 @@
   IntakeMessage,
 } from '../src/wire/intake.js';
 import { encodeIntake, PeerMessageReader } from '../src/wire/peers.js';
+import { encodeReply } from '../src/wire/workers.js';
+import type { WorkerCommand } from '../src/core/types.js';
 import {
   startBusyCluster,
   CANCEL_TIMEOUT_MS,
@@ -289,6 +291,21 @@
     expect(await passedOn({ remainingMs: 1500, viewRevision: 70 }, { startFence: 71 })).toEqual([STOP]);
   });
 
+  test('of a version without limits on messages is passed on as far as the answer fits', async () => {
+    const harness = await IntakeHarness.settled();
+    const bodies: string[] = [];
+    harness.intake.accept(heartbeatOf('m', 2, [task('req-1/0', 1, 'exited', 'done')]), (_status, body) =>
+      bodies.push(body),
+    );
+    await harness.virtualClock.runUntil(harness.virtualClock.now + 2 * TIMES.forwardBatchDelayMs);
+    const starts = Array.from({ length: 2000 }, (_, i) => ({ ...START, task: i }));
+    harness.answer([...starts, STOP]);
+    const { commands } = JSON.parse(bodies[0] ?? '') as { commands: WorkerCommand[] };
+    expect(Buffer.byteLength(encodeReply(TERM, commands))).toBeLessThanOrEqual(64 * 1024);
+    expect(commands[0]).toEqual(STOP);
+    expect(commands.length).toBeGreaterThan(500);
+  });
+
   test('of a version without leases for starts is passed on', async () => {
     expect(await passedOn(undefined, { startFence: 71, delayMs: 1500 })).toEqual([START, STOP]);
   });
