--- a/src/adapters/peer-links.ts
+++ b/src/adapters/peer-links.ts
@@ -5,13 +5,8 @@
 import type { Log, EventCounter } from '../observability/logging.js';
 import { parseAddress, type PlatformSettings, type Timing } from '../config/settings.js';
 import type { IntakeMessage } from '../wire/intake.js';
-import {
-  encodeIntake,
-  encodeStartFence,
-  encodeStatus,
-  PeerMessageReader,
-  type PeerStatus,
-} from '../wire/peers.js';
+import { PeerMessageReader } from '../wire/peer-reader.js';
+import { encodeIntake, encodeStartFence, encodeStatus, type PeerStatus } from '../wire/peers.js';
 import type { StartFenceMessage } from '../wire/start-fence.js';
 import type { Clock } from './clock.js';
 
--- a/src/wire/peers.ts
+++ b/src/wire/peers.ts
@@ -1,18 +1,17 @@
 /**
- * Messages between controllers: length-delimited protobuf frames. A message that is too large for one frame is sent
- * in several: the first is an ordinary message with a part of the lists, and states how many continuations follow.
+ * Messages between controllers, as they are sent: length-delimited protobuf frames. A message that is too large for one
+ * frame is sent in several: the first is an ordinary message with a part of the lists, and states how many
+ * continuations follow.
  */
 import protobuf from 'protobufjs/light.js';
-import { LINK_STATES, type LinkState, type Observation, type MemberStatus } from '../membership/status.js';
+import { LINK_STATES, type MemberStatus } from '../membership/status.js';
 import {
   answersBytes,
   INTAKE_TYPES,
-  intakeFromWire,
   intakeToWire,
   type AnswersMessage,
   type IntakeMessage,
   type HeartbeatsMessage,
-  type WireIntake,
 } from './intake.js';
 import { nameBytes, portionsOf } from './portions.js';
 import { START_FENCE_TYPES, type StartFenceMessage } from './start-fence.js';
@@ -128,7 +127,8 @@
     },
   },
 });
-const statusType = root.lookupType('PeerStatus');
+/** The protobuf type of every frame between controllers. */
+export const frameType = root.lookupType('PeerStatus');
 
 /** The largest frame that a peer may send, in bytes. */
 export const MAX_FRAME_BYTES = 64 * 1024;
@@ -137,17 +137,17 @@
 const MAX_RELAYED_IN_FRAME = 2000;
 const MAX_ATTENTION_IN_FRAME = 3000;
 /** Maximum number of continuations of a message, a bound on malformed input; 64,000 machine names take about 90. */
-const MAX_CONTINUATIONS = 512;
+export const MAX_CONTINUATIONS = 512;
 
 /** The part of a message that continuation frames carry. */
-interface Continuation {
+export interface Continuation {
   readonly counts: readonly JobCount[];
   readonly relayedMachines: readonly string[];
   readonly attention: readonly string[];
   readonly viewConfirmedAt: number;
 }
 
-const encodeFrame = (fields: object): Uint8Array => statusType.encodeDelimited(fields).finish();
+const encodeFrame = (fields: object): Uint8Array => frameType.encodeDelimited(fields).finish();
 
 /** Upper bound of the bytes that a job's count takes besides the id: its numbers and the field tags. */
 const COUNT_OVERHEAD_BYTES = 28;
@@ -262,134 +262,3 @@
     encodeIntake({ ...message, heartbeats: otherHeartbeats, keepalives: firstKeepalives }),
   ]);
 }
-
-type WireObservation = Omit<Observation, 'linkState'> & { readonly linkState: number };
-type WireStatus = Omit<PeerStatus, 'observations'> & {
-  readonly observations: readonly WireObservation[];
-  readonly intake: WireIntake | null;
-  readonly continuation: Continuation | null;
-  readonly continuations: number;
-  readonly startFence: StartFenceMessage | null;
-};
-
-/** A message whose continuation frames have not all arrived yet. */
-interface PartialMessage {
-  remaining: number;
-  readonly received: Continuation[];
-  /** Called with the joined continuations once all of them have arrived. */
-  complete(rest: Continuation): void;
-}
-
-/** Joins the lists of several continuation frames, in their order; the confirmation time is that of the last. */
-const joinContinuations = (received: readonly Continuation[]): Continuation => ({
-  counts: received.flatMap(({ counts }) => counts),
-  relayedMachines: received.flatMap(({ relayedMachines }) => relayedMachines),
-  attention: received.flatMap(({ attention }) => attention),
-  viewConfirmedAt: received.at(-1)?.viewConfirmedAt ?? 0,
-});
-
-const decodeObservation = ({ node, ageMs, linkState }: WireObservation): Observation => ({
-  node,
-  ageMs,
-  linkState: LINK_STATES[linkState] ?? ('silent' satisfies LinkState),
-});
-
-const joinStatus = (
-  first: PeerStatus,
-  { counts, relayedMachines, viewConfirmedAt }: Continuation,
-): PeerStatus => ({
-  ...first,
-  counts: [...first.counts, ...counts],
-  relayedMachines: [...first.relayedMachines, ...relayedMachines],
-  viewConfirmedAt,
-});
-
-const joinIntake = (first: IntakeMessage, { attention, viewConfirmedAt }: Continuation): IntakeMessage =>
-  first.kind === 'answers'
-    ? { ...first, attention: [...first.attention, ...attention], viewConfirmedAt }
-    : first;
-
-/** Splits a stream into messages; throws on malformed or oversized frames. */
-export class PeerMessageReader {
-  #buffer: Uint8Array = new Uint8Array(0);
-  #partial: PartialMessage | null = null;
-  /** Complete statuses that `push` has not returned yet. */
-  readonly #statuses: PeerStatus[] = [];
-
-  constructor(
-    /** Called with each message about shared heartbeats. */
-    private readonly onIntake: (message: IntakeMessage) => void = () => undefined,
-    /** Called with each message about the start fence. */
-    private readonly onStartFence: (message: StartFenceMessage) => void = () => undefined,
-  ) {}
-
-  push(chunk: Uint8Array): PeerStatus[] {
-    this.#buffer = this.#buffer.length === 0 ? chunk : Buffer.concat([this.#buffer, chunk]);
-    for (;;) {
-      const frame = this.#nextFrame();
-      if (frame === null) return this.#statuses.splice(0);
-      const message = statusType.decode(frame);
-      const decoded = statusType.toObject(message, { defaults: true, arrays: true }) as WireStatus;
-      const { intake, continuation, continuations, startFence, ...wire } = decoded;
-      if (startFence !== null) {
-        this.onStartFence(startFence);
-        continue;
-      }
-      if (continuation !== null) {
-        this.#addContinuation(continuation);
-        continue;
-      }
-      if (continuations > MAX_CONTINUATIONS)
-        throw new RangeError(
-          `too many frames: ${continuations} continuations, the limit is ${MAX_CONTINUATIONS}`,
-        );
-      if (intake !== null) {
-        const first = intakeFromWire(intake);
-        this.#startMessage(continuations, (rest) =>
-          this.onIntake(rest === null ? first : joinIntake(first, rest)),
-        );
-      } else {
-        const first = { ...wire, observations: wire.observations.map(decodeObservation) };
-        this.#startMessage(continuations, (rest) =>
-          this.#statuses.push(rest === null ? first : joinStatus(first, rest)),
-        );
-      }
-    }
-  }
-
-  /** Handles the first frame of a message, which completes the message unless continuations follow. */
-  #startMessage(continuations: number, complete: (rest: Continuation | null) => void): void {
-    this.#partial = null;
-    if (continuations === 0) complete(null);
-    else this.#partial = { remaining: continuations, received: [], complete };
-  }
-
-  #addContinuation(continuation: Continuation): void {
-    const partial = this.#partial;
-    if (partial === null) return;
-    partial.received.push(continuation);
-    partial.remaining -= 1;
-    if (partial.remaining > 0) return;
-    this.#partial = null;
-    partial.complete(joinContinuations(partial.received));
-  }
-
-  #nextFrame(): Uint8Array | null {
-    let length = 0;
-    for (let at = 0; at < this.#buffer.length; at += 1) {
-      const byte = this.#buffer[at] ?? 0;
-      length += (byte & 0x7f) * 2 ** (7 * at);
-      if (length > MAX_FRAME_BYTES || at > 3)
-        throw new RangeError(
-          `oversized frame: a length prefix of ${at + 1} bytes announces ${length} bytes or more; limits: 4 and ${MAX_FRAME_BYTES}`,
-        );
-      if ((byte & 0x80) !== 0) continue;
-      const end = at + 1 + length;
-      if (this.#buffer.length < end) return null;
-      const frame = this.#buffer.subarray(at + 1, end);
-      this.#buffer = this.#buffer.subarray(end);
-      return frame;
-    }
-    return null;
-  }
-}
--- a/test/large-fleet.test.ts
+++ b/test/large-fleet.test.ts
@@ -30,7 +30,8 @@
 import { WorkerRouter, type LeaderReachability } from '../src/membership/worker-router.js';
 import { timing } from '../src/config/settings.js';
 import type { AnswersMessage, IntakeMessage, HeartbeatsMessage } from '../src/wire/intake.js';
-import { encodeIntake, encodeStatus, PeerMessageReader, type PeerStatus } from '../src/wire/peers.js';
+import { PeerMessageReader } from '../src/wire/peer-reader.js';
+import { encodeIntake, encodeStatus, type PeerStatus } from '../src/wire/peers.js';
 import type { Heartbeat } from '../src/core/types.js';
 import { CoreHarness, EIGHT_CPU_TYPE, job, heartbeatOf, task, TERM } from './emulators/core-harness.js';
 import { ProcessClock, VirtualClock } from './emulators/clock.js';
--- a/test/shared-reports.test.ts
+++ b/test/shared-reports.test.ts
@@ -17,7 +17,8 @@
   HeartbeatsMessage,
   IntakeMessage,
 } from '../src/wire/intake.js';
-import { encodeIntake, PeerMessageReader } from '../src/wire/peers.js';
+import { PeerMessageReader } from '../src/wire/peer-reader.js';
+import { encodeIntake } from '../src/wire/peers.js';
 import { encodeReply } from '../src/wire/workers.js';
 import type { WorkerCommand } from '../src/core/types.js';
 import {
--- a/test/upgrade.test.ts
+++ b/test/upgrade.test.ts
@@ -6,7 +6,8 @@
 import type { Claim } from '../src/core/types.js';
 import { parseSettings, settingsFaults } from '../src/config/settings.js';
 import { initialLayout, formatRecord, upgradedLayout } from '../src/config/record-layout.js';
-import { encodeStatus, PeerMessageReader } from '../src/wire/peers.js';
+import { PeerMessageReader } from '../src/wire/peer-reader.js';
+import { encodeStatus } from '../src/wire/peers.js';
 import {
   chunkKey,
   decodeChunk,
--- a/test/wire.test.ts
+++ b/test/wire.test.ts
@@ -4,13 +4,8 @@
 import { commandBytes } from '../src/core/message-sizes.js';
 import type { Heartbeat, ReportedTask, WorkerCommand } from '../src/core/types.js';
 import { answerBytes, forwardedHeartbeatBytes } from '../src/wire/intake.js';
-import {
-  encodeIntake,
-  encodeStatus,
-  MAX_FRAME_BYTES,
-  PeerMessageReader,
-  type PeerStatus,
-} from '../src/wire/peers.js';
+import { PeerMessageReader } from '../src/wire/peer-reader.js';
+import { encodeIntake, encodeStatus, MAX_FRAME_BYTES, type PeerStatus } from '../src/wire/peers.js';
 import { parseCatalog, parseMachinePage, parseProvisioned } from '../src/wire/cloud.js';
 import { parseChanges, parsePage, parseRevision } from '../src/wire/key-value-store.js';
 import { encodeDirectCommands, encodeReply, parseHeartbeat, parseTaskName } from '../src/wire/workers.js';
