Tests of the bounds that had none, of two faults at their callers, and shared fixtures

Three bounds could be taken out without a failing test: commands of a follower that answers in its leader's place, direct stops, and a heartbeat that fits no frame. The late first message of an incarnation and the probe rounds were tested in their own modules alone; each has a case at the membership and at the failure detector now.

--- a/test/large-fleet.test.ts
+++ b/test/large-fleet.test.ts
@@ -35,6 +35,7 @@
 import type { Heartbeat } from '../src/core/types.js';
 import { CoreHarness, EIGHT_CPU_TYPE, job, heartbeatOf, task, TERM } from './emulators/core-harness.js';
 import { ProcessClock, VirtualClock } from './emulators/clock.js';
+import { EMPTY_SNAPSHOT } from './emulators/peer-messages.js';
 import { testSettings, NO_OBSERVATIONS } from './emulators/simulation.js';
 
 const FLEET = 8000;
@@ -121,21 +122,7 @@
   return found;
 }
 
-const SNAPSHOT: AnswersMessage = {
-  kind: 'answers',
-  node: 'n-0',
-  incarnation: 'x',
-  term: TERM,
-  sentAt: 5,
-  number: 3,
-  answers: [],
-  addressee: '',
-  attention: NAMES,
-  isSnapshot: true,
-  isSharing: true,
-  viewConfirmedAt: 4,
-  redirect: null,
-};
+const SNAPSHOT: AnswersMessage = { ...EMPTY_SNAPSHOT, attention: NAMES };
 
 describe('a message about 8,000 machines is split into frames', () => {
   test('lists the machines that a follower answers', () => {
--- a/test/membership.test.ts
+++ b/test/membership.test.ts
@@ -1,6 +1,10 @@
 /** Suspicion and failure detection: what each evidence rule guards against; routing of workers by followers. */
 import { expect, test } from 'vitest';
 import { InterArrivalTracker } from '../src/membership/inter-arrival-tracker.js';
+import type { ControllerContext } from '../src/controller/context.js';
+import { FailureDetector } from '../src/controller/failure-detector.js';
+import { getOrCreateMachine } from '../src/core/fleet/index.js';
+import type { CoreState } from '../src/core/state.js';
 import { Incarnations } from '../src/membership/incarnations.js';
 import { nextProbeRound } from '../src/membership/probe-rounds.js';
 import { Membership } from '../src/membership/membership.js';
@@ -8,6 +12,7 @@
 import { EVIDENCE_RULES, snapshotIntervalMs, type EvidenceRules } from '../src/membership/evidence-rules.js';
 import type { MemberStatus } from '../src/membership/status.js';
 import { timing } from '../src/config/settings.js';
+import { CoreHarness } from './emulators/core-harness.js';
 import { testSettings, NO_OBSERVATIONS } from './emulators/simulation.js';
 
 const TIMES = timing(testSettings(0));
@@ -346,6 +351,18 @@
   expect(incarnations.accept('earlier', 2800)).toBe(false);
 });
 
+test('a peer whose earlier incarnation was heard late is in contact again without a restart', () => {
+  const scene = new Scene(EVIDENCE_RULES);
+  scene.receiveStatus('b', { incarnation: 'running' });
+  scene.receiveStatus('b', { incarnation: 'short-lived' });
+  for (let i = 0; i < 40; i += 1) {
+    scene.wait(STATUS_INTERVAL_MS, ['c']);
+    scene.receiveStatus('b', { incarnation: 'running' });
+  }
+  expect(scene.membership.statusOf('b')?.incarnation).toBe('running');
+  expect(scene.membership.isCurrentIncarnation({ node: 'b', incarnation: 'running' })).toBe(true);
+});
+
 test('messages of an earlier incarnation that arrive together do not revive it, however long its successor is silent', () => {
   const incarnations = new Incarnations(1000);
   incarnations.accept('earlier', 0);
@@ -356,6 +373,54 @@
   expect(incarnations.accept('earlier', 7200)).toBe(false);
 });
 
+test('a follower probes for a new leader although it has probed for another one before', () => {
+  const leaderOf = (term: number): FailureDetector => {
+    const { state } = new CoreHarness();
+    Object.assign(state.leadership ?? {}, { term });
+    const machine = getOrCreateMachine(state, 'm', { monotonicMs: 0, epochMs: 0 });
+    Object.assign(machine, { address: '127.0.0.1:1', lastHeartbeatAt: 1 });
+    return detectorOf(state, () => undefined);
+  };
+  const probed: string[] = [];
+  const follower = detectorOf(new CoreHarness().state, (address) => probed.push(address));
+  for (const [node, term] of [
+    ['b', 7],
+    ['c', 8],
+  ] as const) {
+    const leader = leaderOf(term);
+    // The leader does not know whether this peer reaches the machines, and asks for probes.
+    expect(leader.isEligibleSuccessor('b')).toBe(false);
+    const { probeRequests, probeRound } = leader.localStatus();
+    follower.onPeer(memberStatus(node, { isLeader: true, term, probeRequests, probeRound }));
+  }
+  expect(probed).toEqual(['127.0.0.1:1', '127.0.0.1:1']);
+});
+
+/** A failure detector of node `a`; `probe` is called with the address of each machine that it probes. */
+function detectorOf(state: CoreState, probe: (address: string) => void): FailureDetector {
+  const clock = { monotonicMs: () => 100_000, epochMs: () => 100_000 };
+  const workers = {
+    probe: (address: string) => {
+      probe(address);
+      return Promise.resolve(true);
+    },
+  };
+  const others = ['b', 'c'].map((host_name) => ({ host_name }));
+  const context = {
+    settings: { others, cluster: { quota: { cpu: 1 } } },
+    timing: TIMES,
+    ports: { clock, workers, log: { info: () => undefined }, store: { lastContactAt: () => null } },
+    commands: { state },
+    leadershipView: { leader: null, leaderRevision: 0, highestTerm: 0, leadingTerm: 0 },
+  } as unknown as ControllerContext;
+  return new FailureDetector(context, {
+    replaceCrashedLeader: () => undefined,
+    transferLeadership: () => undefined,
+    preferredLeaders: () => new Set(),
+    broadcastStatus: () => undefined,
+  });
+}
+
 // A result of an earlier leader's round would count as a peer's contact with the machines of this one.
 test('leaders of different terms number their probe rounds differently', () => {
   const first = nextProbeRound(7, 0);
--- a/test/message-limits.test.ts
+++ b/test/message-limits.test.ts
@@ -1,9 +1,13 @@
 /** Messages stay within 64 KiB however many tiny tasks a job has, and what does not fit follows with a later message. */
-import { Agent, request } from 'node:http';
+import { Agent, createServer, request } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import fc from 'fast-check';
 import { describe, expect, test } from 'vitest';
 import { createPublicServer, type PublicApi } from '../src/adapters/public-server.js';
+import { HttpWorkerClient } from '../src/adapters/worker-client.js';
+import { timing } from '../src/config/settings.js';
+import { FallbackResponder } from '../src/controller/fallback-responder.js';
+import { HeartbeatIntake } from '../src/controller/heartbeat-intake.js';
 import { SharedHeartbeats } from '../src/controller/shared-heartbeats.js';
 import type { ControllerContext } from '../src/controller/context.js';
 import type { Effect } from '../src/core/effects.js';
@@ -16,8 +20,11 @@
 import { encodeReply, parseHeartbeat } from '../src/wire/workers.js';
 import { ProcessClock, VirtualClock } from './emulators/clock.js';
 import { CoreHarness, EIGHT_CPU_TYPE, heartbeatOf, job, task, TERM } from './emulators/core-harness.js';
+import { EMPTY_SNAPSHOT } from './emulators/peer-messages.js';
+import { testSettings } from './emulators/simulation.js';
 
 const MAX_BYTES = 64 * 1024;
+const TIMES = timing(testSettings(0));
 const TASKS = 2000;
 const LARGE_TYPE: MachineType = { ...EIGHT_CPU_TYPE, cpus: 32, memoryGb: 128 };
 const tinyJob = (overrides: Partial<JobSpec> = {}): JobSpec =>
@@ -86,13 +93,19 @@
 const harnessOf = (type = LARGE_TYPE): CoreHarness =>
   new CoreHarness(0, [type], { write_rps: 30_000, rps: 30_000 });
 
+/** The only machine of a leader, after it has been given as many of 2,000 tiny tasks as it may hold. */
+function loadedMachine(): { harness: CoreHarness; machine: Machine } {
+  const harness = harnessOf();
+  const machine = new Machine(harness, 'm');
+  machine.beat();
+  harness.addJob(tinyJob());
+  for (let i = 0; i < 4; i += 1) machine.beat();
+  return { harness, machine };
+}
+
 describe('2,000 tiny tasks, which by their CPUs and memory fit one machine', () => {
   test('are spread so that the heartbeat of each machine fits, also when all tasks have ended', () => {
-    const harness = harnessOf();
-    const machine = new Machine(harness, 'm');
-    machine.beat();
-    harness.addJob(tinyJob());
-    for (let i = 0; i < 4; i += 1) machine.beat();
+    const { machine } = loadedMachine();
     const onMachine = machine.tasks.length;
     expect(onMachine).toBeGreaterThan(500);
     expect(onMachine).toBeLessThan(TASKS);
@@ -114,11 +127,7 @@
   });
 
   test('leave room for exited tasks that the worker may not forget yet', () => {
-    const harness = harnessOf();
-    const machine = new Machine(harness, 'm');
-    machine.beat();
-    harness.addJob(tinyJob());
-    for (let i = 0; i < 4; i += 1) machine.beat();
+    const { harness, machine } = loadedMachine();
     machine.endAll();
     // The exits are not committed yet, so the worker has to keep them.
     harness.now += 700;
@@ -140,11 +149,7 @@
   });
 
   test('are stopped with the answers to the next heartbeats when the job is cancelled', () => {
-    const harness = harnessOf();
-    const machine = new Machine(harness, 'm');
-    machine.beat();
-    harness.addJob(tinyJob());
-    for (let i = 0; i < 4; i += 1) machine.beat();
+    const { harness, machine } = loadedMachine();
     harness.stepAndCommit({ kind: 'jobRemoved', id: 'req-000002' });
     for (let i = 0; i < 3; i += 1) machine.beat();
     expect(machine.tasks).toEqual([]);
@@ -248,6 +253,46 @@
 const stopped = (name: string, count: number): ReportedTask[] =>
   Array.from({ length: count }, (_, i) => ({ ...task('x/0', 1, 'running'), job: name, task: i }));
 
+describe('commands that do not fit into one message are cut by', () => {
+  test('a follower that answers in the place of its leader', async () => {
+    const clock = new ProcessClock(new VirtualClock(), 1, 0);
+    const store = { list: () => Promise.resolve('unknown') } as never;
+    const responder = new FallbackResponder('n-1', store, clock, TIMES, 32 * 1024, 100);
+    responder.receiveSnapshot({ viewConfirmedAt: clock.epochMs(), liveJobs: new Set() });
+    const commands = await responder.answer(heartbeatOf('m', 1, stopped('req-1', 2000)));
+    expect(commands?.length).toBeGreaterThan(500);
+    expect(Buffer.byteLength(encodeReply(TERM, commands ?? []))).toBeLessThanOrEqual(MAX_BYTES);
+  });
+
+  test('the sender of direct stops of a large array', async () => {
+    const bodies: Buffer[] = [];
+    const server = createServer((received, response) => {
+      const chunks: Buffer[] = [];
+      received.on('data', (chunk: Buffer) => chunks.push(chunk));
+      received.on('end', () => {
+        bodies.push(Buffer.concat(chunks));
+        response.end('{}');
+      });
+    });
+    await new Promise<void>((resolve) => {
+      server.listen(0, '127.0.0.1', resolve);
+    });
+    const { port } = server.address() as AddressInfo;
+    const stops = stopped('req-000002', TASKS).map(({ job: id, task: index, attempt }): WorkerCommand => ({
+      op: 'stop',
+      job: id,
+      task: index,
+      attempt,
+      graceS: 0.25,
+    }));
+    await new HttpWorkerClient(2000, 1000, 4).sendCommands(`127.0.0.1:${port}`, TERM, 1, stops);
+    server.close();
+    expect(bodies).toHaveLength(1);
+    expect(bodies[0]?.length).toBeLessThanOrEqual(MAX_BYTES);
+    expect((JSON.parse(String(bodies[0])) as { cues: unknown[] }).cues.length).toBeGreaterThan(500);
+  });
+});
+
 test('commands that do not fit into one answer follow with the next ones, stops first and starts last', () => {
   const harness = harnessOf();
   harness.deliverHeartbeat(heartbeatOf('m', 1));
@@ -343,11 +388,33 @@
     );
   });
 
+  test('carry no heartbeat that fits no frame: its worker is sent to the leader', () => {
+    const intake = new HeartbeatIntake({
+      clock: new ProcessClock(new VirtualClock(), 1, 0),
+      timing: TIMES,
+      node: 'n-1',
+      incarnation: 'y',
+      maxClockSkewMs: 200,
+      followedLeader: () => ({ leader: 'n-0', term: TERM }),
+      startFence: () => 0,
+      send: () => true,
+      encodeAnswer: () => '',
+      encodeRedirect: (to) => to,
+      answerWithoutLeader: () => undefined,
+      route: () => undefined,
+    });
+    intake.receive(EMPTY_SNAPSHOT);
+    const accepts = (sequence: number, tasks: readonly ReportedTask[]): boolean =>
+      intake.accept(heartbeatOf('m', sequence, tasks), () => undefined);
+    expect(accepts(1, stopped('req-000002', 1000))).toBe(true);
+    expect(accepts(2, stopped(longName, 400))).toBe(false);
+  });
+
   test('carry a snapshot of all machines beside a large answer', () => {
     const commands = Array.from({ length: 1150 }, (_, i) => ({ ...startOf('req-000002'), task: i }));
     const answers = [{ reference: 0, isAccepted: true, needsAttention: false, commands }];
     const attention = Array.from({ length: 1800 }, (_, i) => `machine-with-a-long-name-${i}`);
-    const message: AnswersMessage = { ...SNAPSHOT, answers, attention };
+    const message: AnswersMessage = { ...EMPTY_SNAPSHOT, answers, attention };
     const bytes = encodeIntake(message);
     expect(bytes.length).toBeGreaterThan(MAX_FRAME_BYTES);
     expect(readFrames(bytes)).toEqual([message]);
@@ -356,22 +423,6 @@
 
 const startOf = (id: string): WorkerCommand => ({ op: 'start', job: id, task: 0, attempt: 1 });
 
-const SNAPSHOT: AnswersMessage = {
-  kind: 'answers',
-  node: 'n-0',
-  incarnation: 'x',
-  term: TERM,
-  sentAt: 5,
-  number: 3,
-  answers: [],
-  addressee: '',
-  attention: [],
-  isSnapshot: true,
-  isSharing: true,
-  viewConfirmedAt: 4,
-  redirect: null,
-};
-
 function shareAlways(harness: CoreHarness): void {
   const policy = { ...harness.state.config.policy, sharedHeartbeatsMinMachines: 0 };
   Object.assign(harness.state, { config: { ...harness.state.config, policy } });
--- a/test/stale-copies.test.ts
+++ b/test/stale-copies.test.ts
@@ -3,7 +3,6 @@
  * heartbeat or incarnation reaches another.
  */
 import fc from 'fast-check';
-import protobuf from 'protobufjs/light.js';
 import { describe, expect, test } from 'vitest';
 import type { ControllerContext } from '../src/controller/context.js';
 import { HeartbeatIntake } from '../src/controller/heartbeat-intake.js';
@@ -16,6 +15,7 @@
 import type { IntakeMessage } from '../src/wire/intake.js';
 import { ProcessClock, VirtualClock } from './emulators/clock.js';
 import { CoreHarness, heartbeatOf, job, task, TERM } from './emulators/core-harness.js';
+import { PRODUCTION_STATUS } from './emulators/peer-messages.js';
 import { drawRun, seeded, Simulation, testSettings } from './emulators/simulation.js';
 
 const TIMES = timing(testSettings(0));
@@ -352,23 +352,6 @@
   });
 });
 
-/** The status message as the version `production` declares it; its decoder skips unknown fields. */
-const PRODUCTION_STATUS = protobuf.Root.fromJSON({
-  nested: {
-    JobCount: { fields: { id: { type: 'string', id: 1 }, done: { type: 'uint32', id: 2 } } },
-    PeerStatus: {
-      fields: {
-        node: { type: 'string', id: 1 },
-        incarnation: { type: 'string', id: 2 },
-        term: { type: 'double', id: 3 },
-        leading: { type: 'bool', id: 4 },
-        stateAgeMs: { type: 'uint32', id: 5 },
-        counts: { rule: 'repeated', type: 'JobCount', id: 6 },
-      },
-    },
-  },
-}).lookupType('PeerStatus');
-
 describe('beside a controller of the version production, which knows no shared heartbeats', () => {
   test('an answer to forwarded heartbeats names no node there, so that it is ignored', async () => {
     const pair = new Pair();
--- a/test/upgrade.test.ts
+++ b/test/upgrade.test.ts
@@ -1,6 +1,5 @@
 /** Controllers of different versions, and the migration of stored records to smaller store limits. */
 import { readFileSync } from 'node:fs';
-import protobuf from 'protobufjs/light.js';
 import { expect, test } from 'vitest';
 import type { Effect } from '../src/core/effects.js';
 import type { Claim } from '../src/core/types.js';
@@ -19,6 +18,7 @@
   parseChunkKey,
 } from '../src/core/persistence/index.js';
 import { CoreHarness, job, heartbeatOf, task, TERM } from './emulators/core-harness.js';
+import { PRODUCTION_STATUS } from './emulators/peer-messages.js';
 import { seeded, testSettings, TIGHT_LIMITS, NO_OBSERVATIONS, Simulation } from './emulators/simulation.js';
 
 interface ProductionData {
@@ -68,20 +68,6 @@
     format: 0,
     dependenciesResolvedUntil: 0,
   });
-  // The message type as production declares it.
-  const productionType = protobuf.Root.fromJSON({
-    nested: {
-      PeerStatus: {
-        fields: {
-          node: { type: 'string', id: 1 },
-          incarnation: { type: 'string', id: 2 },
-          term: { type: 'double', id: 3 },
-          leading: { type: 'bool', id: 4 },
-          stateAgeMs: { type: 'uint32', id: 5 },
-        },
-      },
-    },
-  }).lookupType('PeerStatus');
   const encoded = encodeStatus({
     node: 'n-1',
     incarnation: 'y',
@@ -96,7 +82,7 @@
     viewConfirmedAt: 0,
     ...NO_OBSERVATIONS,
   });
-  expect(productionType.toObject(productionType.decodeDelimited(encoded))).toMatchObject({
+  expect(PRODUCTION_STATUS.toObject(PRODUCTION_STATUS.decodeDelimited(encoded))).toMatchObject({
     node: 'n-1',
     term: 8,
   });
